--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/HostInfo.java
@@ -0,0 +1,26 @@
+package org.hyssoprouter.lib;
+
+import java.util.List;
+
+/**
+ * A worker's host as the platform lists it.
+ *
+ * @param worker name of the worker, unique in the cell
+ * @param region region
+ * @param domain failure domain
+ * @param rack rack within the failure domain
+ * @param address {@code ip:port} of the worker's HTTP endpoint
+ * @param state whether it may receive work
+ * @param capacity room of the whole worker
+ * @param executors executors on this host
+ * @since 0.1
+ */
+public record HostInfo(
+        String worker,
+        String region,
+        String domain,
+        String rack,
+        String address,
+        HostState state,
+        Room capacity,
+        List<ExecutorInfo> executors) {}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/Verdict.java
@@ -0,0 +1,15 @@
+package org.hyssoprouter.lib;
+
+/**
+ * Says whether a request may have run on a target.
+ *
+ * @since 0.1
+ */
+public enum Verdict {
+    /** The target ran the request and its answer is complete. */
+    RAN,
+    /** The request was not run and will not be run later. */
+    NOT_RUN,
+    /** The request was sent and nothing is known of its outcome. */
+    MAY_HAVE_RUN
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/util/package-info.java
@@ -0,0 +1,5 @@
+/** Clocks, services and codecs without any decision in them. */
+@NullMarked
+package org.hyssoprouter.util;
+
+import org.jspecify.annotations.NullMarked;
