Add the HTTP adapters of platform, workers and executors

Cause: the decisions need the platform, workers and executors behind their ports. Change: adapters on OkHttp; each failure says whether the first byte may have gone out. Conclusion: refused, silent and cut connections give NOT_RUN, MAY_HAVE_RUN, MAY_HAVE_RUN in HttpCallerTest.

--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpObjectStore.java
@@ -0,0 +1,79 @@
+package org.hyssoprouter.daemon.adapter;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.transport.ObjectStore;
+
+/**
+ * The platform's object store over HTTP, see docs/PORTS.md.
+ *
+ * @since 0.1
+ */
+public final class HttpObjectStore implements ObjectStore {
+    private final HttpCaller mCaller;
+    private final String mAddress;
+    private final long mTimeoutMillis;
+
+    /**
+     * Creates the adapter.
+     *
+     * @param address {@code ip:port} of the platform
+     * @param timeoutMillis time for each call
+     */
+    public HttpObjectStore(HttpCaller caller, String address, long timeoutMillis) {
+        mCaller = caller;
+        mAddress = address;
+        mTimeoutMillis = timeoutMillis;
+    }
+
+    @Override
+    public Either<TableError, Boolean> put(String key, byte[] content) {
+        Request request = at(key).put(RequestBody.create(content)).build();
+        return call(request).flatMap(HttpObjectStore::done);
+    }
+
+    @Override
+    public Either<TableError, Option<byte[]>> get(String key) {
+        return call(at(key).build()).flatMap(HttpObjectStore::content);
+    }
+
+    @Override
+    public Either<TableError, Boolean> delete(String key) {
+        return call(at(key).delete().build()).flatMap(HttpObjectStore::done);
+    }
+
+    private Request.Builder at(String key) {
+        return new Request.Builder().url(JsonHttp.url(mAddress, "/objects/" + key));
+    }
+
+    private Either<TableError, HttpReply> call(Request request) {
+        return mCaller.callAndWait(request, mTimeoutMillis).mapLeft(HttpObjectStore::errorOf);
+    }
+
+    private static TableError errorOf(CallError error) {
+        if (error.verdict() == Verdict.NOT_RUN) {
+            return TableError.unavailable(error.message());
+        }
+        return TableError.unknown(error.message());
+    }
+
+    private static Either<TableError, Boolean> done(HttpReply reply) {
+        if (reply.status() == HttpReply.NO_CONTENT) {
+            return Either.right(true);
+        }
+        return Either.left(TableError.unavailable("status " + reply.status()));
+    }
+
+    private static Either<TableError, Option<byte[]>> content(HttpReply reply) {
+        return switch (reply.status()) {
+            case HttpReply.OK -> Either.right(Option.of(reply.body()));
+            case HttpReply.NOT_FOUND -> Either.right(Option.none());
+            default -> Either.left(TableError.unavailable("status " + reply.status()));
+        };
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpReply.java
@@ -0,0 +1,30 @@
+package org.hyssoprouter.daemon.adapter;
+
+import java.io.IOException;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Complete answer to an HTTP call.
+ *
+ * @param status HTTP status
+ * @param refused value of the header {@code Hyssop-Refused}, or null
+ * @param body content
+ * @since 0.1
+ */
+public record HttpReply(int status, @Nullable String refused, byte[] body) {
+    static final int OK = 200;
+    static final int NO_CONTENT = 204;
+    static final int NOT_FOUND = 404;
+    static final int CONFLICT = 409;
+
+    /**
+     * Reads the whole answer.
+     *
+     * @throws IOException if the connection ends before the answer is complete
+     */
+    static HttpReply of(Response response) throws IOException {
+        return new HttpReply(
+                response.code(), response.header("Hyssop-Refused"), response.body().bytes());
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/JsonHttp.java
@@ -0,0 +1,72 @@
+package org.hyssoprouter.daemon.adapter;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import okhttp3.MediaType;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.util.MessageCodec;
+
+/** Requests and answers in JSON, shared by the adapters. */
+final class JsonHttp {
+    private static final MediaType JSON = MediaType.get("application/json");
+
+    private JsonHttp() {}
+
+    static Request post(String address, String path, Object message) {
+        return new Request.Builder().url(url(address, path)).post(body(message)).build();
+    }
+
+    static Request get(String address, String path) {
+        return new Request.Builder().url(url(address, path)).build();
+    }
+
+    static String url(String address, String path) {
+        return "http://" + address + path;
+    }
+
+    /** Decodes the answer of a call, or says why there is none. */
+    static <T> Either<CallError, T> decode(HttpReply reply, Class<T> type) {
+        if (reply.status() == HttpReply.CONFLICT) {
+            return Either.left(CallError.notRun(CallError.Kind.REFUSED, text(reply)));
+        }
+        if (reply.status() != HttpReply.OK) {
+            return Either.left(unexpected(reply));
+        }
+        try {
+            return Either.right(MessageCodec.json().readValue(reply.body(), type));
+        } catch (IOException e) {
+            return Either.left(
+                    CallError.mayHaveRun(CallError.Kind.BROKEN, "bad answer: " + e.getMessage()));
+        }
+    }
+
+    static <T> CompletableFuture<Either<CallError, T>> call(
+            HttpCaller caller, Request request, long timeoutMillis, Class<T> type) {
+        return caller.call(request, timeoutMillis)
+                .thenApply(result -> result.flatMap(reply -> decode(reply, type)));
+    }
+
+    private static CallError unexpected(HttpReply reply) {
+        return new CallError(
+                CallError.Kind.BROKEN,
+                Verdict.MAY_HAVE_RUN,
+                "status " + reply.status() + ": " + text(reply));
+    }
+
+    private static String text(HttpReply reply) {
+        return new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8);
+    }
+
+    private static RequestBody body(Object message) {
+        try {
+            return RequestBody.create(MessageCodec.json().writeValueAsBytes(message), JSON);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("cannot encode " + message.getClass(), e);
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/package-info.java
@@ -0,0 +1,5 @@
+/** Adapters of the ports to the HTTP protocols of platform, workers and executors. */
+@NullMarked
+package org.hyssoprouter.daemon.adapter;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/adapter/HttpCallerTest.java
@@ -0,0 +1,78 @@
+package org.hyssoprouter.daemon.adapter;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.Executors;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.lib.Verdict;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class HttpCallerTest {
+    private final HttpCaller mCaller = new HttpCaller(Executors.newCachedThreadPool(), 4);
+
+    @AfterEach
+    void tearDown() {
+        mCaller.stop();
+    }
+
+    @Test
+    void refusedConnectionIsNotRun() throws IOException {
+        ServerSocket closed = listen();
+        int port = closed.getLocalPort();
+        closed.close();
+        assertEquals(Verdict.NOT_RUN, send(port, 5_000).getLeft().verdict());
+    }
+
+    @Test
+    void silenceAfterTheSendMayHaveRun() throws IOException {
+        try (ServerSocket silent = listen()) {
+            CallError error = send(silent.getLocalPort(), 300).getLeft();
+            assertEquals(CallError.Kind.TIMEOUT, error.kind());
+            assertEquals(Verdict.MAY_HAVE_RUN, error.verdict());
+        }
+    }
+
+    @Test
+    void cutInTheAnswerMayHaveRun() throws IOException {
+        try (ServerSocket cutting = listen()) {
+            Thread server = new Thread(() -> answerHalf(cutting));
+            server.start();
+            CallError error = send(cutting.getLocalPort(), 5_000).getLeft();
+            assertEquals(CallError.Kind.BROKEN, error.kind());
+            assertEquals(Verdict.MAY_HAVE_RUN, error.verdict());
+        }
+    }
+
+    private static ServerSocket listen() throws IOException {
+        return new ServerSocket(0, 10, InetAddress.getLoopbackAddress());
+    }
+
+    private Either<CallError, HttpReply> send(int port, long timeoutMillis) {
+        Request request =
+                new Request.Builder()
+                        .url("http://127.0.0.1:" + port + "/execute")
+                        .post(RequestBody.create(new byte[] {1}))
+                        .build();
+        return mCaller.call(request, timeoutMillis).join();
+    }
+
+    private static void answerHalf(ServerSocket server) {
+        try (Socket socket = server.accept()) {
+            String half = "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf";
+            socket.getOutputStream().write(half.getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().flush();
+            socket.getInputStream().read();
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
