Add the link between daemons

Cause: entries, owners and shards' home owners need typed calls with a truthful verdict over one connection to each peer. Ruled out: HTTP between daemons (a large body holds its connection, and nothing says whether a call was written); pooled buffers (they keep memory that a small host lacks).

--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/Frame.java
@@ -0,0 +1,57 @@
+package org.hyssoprouter.daemon.peer;
+
+import org.hyssoprouter.lib.TrafficClass;
+
+/**
+ * Unit of the link between daemons.
+ *
+ * @param kind kind of frame
+ * @param id correlation id of the call; 0 for pings
+ * @param type number of the call's type; 0 unless the frame is a call
+ * @param trafficClass traffic class
+ * @param last whether this is the last chunk of its body
+ * @param body body or one chunk of it
+ */
+record Frame(Kind kind, long id, int type, TrafficClass trafficClass, boolean last, byte[] body) {
+    /** Largest body of one frame in bytes; larger bodies are cut into chunks. */
+    static final int CHUNK_BYTES = 16 * 1024;
+
+    /** Largest encoded frame in bytes. */
+    static final int MAX_ENCODED_BYTES = CHUNK_BYTES + 64;
+
+    private static final byte[] EMPTY = new byte[0];
+
+    /** Kinds of frames, with their fixed numbers on the wire. */
+    enum Kind {
+        /** Asks for a sign of life. */
+        PING(0),
+        /** Answers a ping. */
+        PONG(1),
+        /** Body of a call. */
+        CALL(2),
+        /** Body of an answer. */
+        ANSWER(3),
+        /** The call was not handed to its handler. */
+        REJECTED(4),
+        /** The handler failed; the call may have had its effect. */
+        FAILED(5),
+        /** The rest of a call's body will not come. */
+        CANCEL(6);
+
+        private final int mNumber;
+
+        Kind(int number) {
+            mNumber = number;
+        }
+
+        /** Returns the number on the wire. */
+        int number() {
+            return mNumber;
+        }
+    }
+
+    /** Returns a frame without a body. */
+    static Frame control(Kind kind, long id) {
+        return new Frame(kind, id, 0, TrafficClass.URGENT, true, EMPTY);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/FrameDecoder.java
@@ -0,0 +1,53 @@
+package org.hyssoprouter.daemon.peer;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.CorruptedFrameException;
+import io.netty.handler.codec.MessageToMessageDecoder;
+import java.io.IOException;
+import java.util.List;
+import org.hyssoprouter.lib.TrafficClass;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+/** Reads the MessagePack array of a frame; anything else is a fault that closes the connection. */
+final class FrameDecoder extends MessageToMessageDecoder<ByteBuf> {
+    private final LinkCounters mCounters;
+
+    FrameDecoder(LinkCounters counters) {
+        mCounters = counters;
+    }
+
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf in, List<Object> out)
+            throws IOException {
+        byte[] bytes = new byte[in.readableBytes()];
+        in.readBytes(bytes);
+        mCounters.received(Integer.BYTES + bytes.length);
+        try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+            out.add(frame(unpacker));
+        } catch (MessagePackException e) {
+            throw new CorruptedFrameException("frame is not a MessagePack array of a frame", e);
+        }
+    }
+
+    private static Frame frame(MessageUnpacker unpacker) throws IOException {
+        require(unpacker.unpackArrayHeader() == FrameEncoder.FIELDS, "number of fields");
+        Frame.Kind kind = WireNumbers.kind(unpacker.unpackInt());
+        long id = unpacker.unpackLong();
+        int type = unpacker.unpackInt();
+        TrafficClass trafficClass = WireNumbers.trafficClass(unpacker.unpackInt());
+        boolean last = unpacker.unpackBoolean();
+        int length = unpacker.unpackBinaryHeader();
+        require(length <= Frame.CHUNK_BYTES, "length of the body");
+        byte[] body = unpacker.readPayload(length);
+        return new Frame(kind, id, type, trafficClass, last, body);
+    }
+
+    private static void require(boolean condition, String what) {
+        if (!condition) {
+            throw new CorruptedFrameException("frame has an unknown " + what);
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/SendQueue.java
@@ -0,0 +1,109 @@
+package org.hyssoprouter.daemon.peer;
+
+import io.vavr.control.Option;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssoprouter.lib.TrafficClass;
+
+/**
+ * Messages that wait for a connection; used on its event loop only. Pings go first, then the more
+ * pressing class. Messages of one class take turns, a chunk each, so that a small one never waits
+ * for the whole of a large one. Each {@link #FAIRNESS_INTERVAL}-th chunk goes to the least pressing
+ * class that waits, so that no class starves.
+ */
+final class SendQueue {
+    /** Most bytes that may wait in one class. */
+    static final long MAX_CLASS_BYTES = 8L * 1024 * 1024;
+
+    /** Most messages that may wait in one class. */
+    static final int MAX_CLASS_MESSAGES = 4096;
+
+    private static final int FAIRNESS_INTERVAL = 16;
+
+    private final ArrayDeque<Frame> mControl = new ArrayDeque<>();
+    private final Map<TrafficClass, ClassQueue> mClasses = new EnumMap<>(TrafficClass.class);
+    private final List<ClassQueue> mLeastPressingFirst;
+    private int mChunks;
+
+    SendQueue() {
+        for (TrafficClass trafficClass : TrafficClass.values()) {
+            mClasses.put(trafficClass, new ClassQueue());
+        }
+        mLeastPressingFirst = new ArrayList<>(mClasses.values());
+        Collections.reverse(mLeastPressingFirst);
+    }
+
+    /** Adds a frame that goes before all messages. */
+    void offerControl(Frame frame) {
+        mControl.add(frame);
+    }
+
+    /** Adds a message; returns false, and adds nothing, when its class is full. */
+    boolean offer(Outgoing message) {
+        ClassQueue queue = queueOf(message);
+        long bytes = queue.mBytes + message.bodyBytes();
+        if (bytes > MAX_CLASS_BYTES || queue.mMessages.size() >= MAX_CLASS_MESSAGES) {
+            return false;
+        }
+        queue.mBytes = bytes;
+        queue.mMessages.add(message);
+        return true;
+    }
+
+    /** Takes the next ping or pong. */
+    Option<Frame> nextControl() {
+        return Option.of(mControl.poll());
+    }
+
+    /** Returns the message whose chunk goes next, leaving it in place. */
+    Option<Outgoing> peek() {
+        boolean leastPressing = (mChunks + 1) % FAIRNESS_INTERVAL == 0;
+        for (ClassQueue queue : leastPressing ? mLeastPressingFirst : mClasses.values()) {
+            Outgoing message = queue.mMessages.peek();
+            if (message != null) {
+                return Option.some(message);
+            }
+        }
+        return Option.none();
+    }
+
+    /** Takes the next chunk of the message that {@link #peek()} returned. */
+    Frame next(Outgoing message) {
+        ClassQueue queue = queueOf(message);
+        queue.mMessages.remove();
+        mChunks++;
+        Frame frame = message.next();
+        if (frame.last()) {
+            queue.mBytes -= message.bodyBytes();
+        } else {
+            queue.mMessages.add(message);
+        }
+        return frame;
+    }
+
+    /** Removes a message that was not wholly sent. */
+    void remove(Outgoing message) {
+        ClassQueue queue = queueOf(message);
+        if (queue.mMessages.remove(message)) {
+            queue.mBytes -= message.bodyBytes();
+        }
+    }
+
+    private ClassQueue queueOf(Outgoing message) {
+        ClassQueue queue = mClasses.get(message.trafficClass());
+        if (queue == null) {
+            throw new IllegalStateException("no queue for class " + message.trafficClass());
+        }
+        return queue;
+    }
+
+    /** Messages of one class. */
+    private static final class ClassQueue {
+        private final ArrayDeque<Outgoing> mMessages = new ArrayDeque<>();
+        private long mBytes;
+    }
+}
