Add the stand-ins of platform, workers and executors

The thin path and the system tests need a platform, workers and executors that take orders for faults. Jooby was ruled out for them: it hides the connection, and the stand-ins have to close connections without an answer, leave them silent and count them. Netty's HTTP codec, already on the class path through Jooby, does that with two event loops a process.

Overfills are counted and run, not refused, so that a fault of the scheduler shows. FleetMain hosts all workers and executors of a fleet in one process.

Seen on the way: the JSON of Room carried its isNegative() as a field that the strict reader refused, so no worker's answer could be read. It is left out now; RoomTest reads the form back.

--- /dev/null
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/EndpointHandler.java
@@ -0,0 +1,106 @@
+package org.hyssoprouter.standin;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.QueryStringDecoder;
+import java.io.IOException;
+import java.lang.System.Logger.Level;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.standin.StandinResponse.Delivery;
+
+/**
+ * Hands the requests of one connection to a {@link StandinHandler} and writes its answers.
+ *
+ * <p>The outcome of a write is of no interest: a caller that is gone needs no answer.
+ */
+@SuppressWarnings("FutureReturnValueIgnored")
+final class EndpointHandler extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private static final System.Logger LOGGER = System.getLogger("org.hyssoprouter.standin");
+
+    private final StandinHandler mHandler;
+    private final Connection mConnection = new Connection();
+
+    EndpointHandler(StandinHandler handler) {
+        mHandler = handler;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext context, FullHttpRequest message) {
+        if (mConnection.isSilent()) {
+            return;
+        }
+        StandinRequest request =
+                new StandinRequest(
+                        message.method().name(),
+                        new QueryStringDecoder(message.uri()),
+                        message.headers().copy(),
+                        ByteBufUtil.getBytes(message.content()),
+                        mConnection);
+        handle(request)
+                .exceptionally(e -> failure(request, e))
+                .thenAccept(response -> context.executor().execute(() -> write(context, response)));
+    }
+
+    private CompletableFuture<StandinResponse> handle(StandinRequest request) {
+        try {
+            return mHandler.handle(request);
+        } catch (IOException | RuntimeException e) {
+            return CompletableFuture.completedFuture(failure(request, e));
+        }
+    }
+
+    private static StandinResponse failure(StandinRequest request, Throwable error) {
+        boolean badInput =
+                error instanceof IOException || error instanceof IllegalArgumentException;
+        if (!badInput) {
+            LOGGER.log(Level.ERROR, request.route() + " failed", error);
+        }
+        return StandinResponse.text(badInput ? 400 : 500, String.valueOf(error));
+    }
+
+    private void write(ChannelHandlerContext context, StandinResponse response) {
+        if (mConnection.isSilent()) {
+            return;
+        }
+        if (response.delivery() == Delivery.CUT) {
+            context.close();
+            return;
+        }
+        int length = response.body().length;
+        boolean half = response.delivery() == Delivery.HALF;
+        ByteBuf content = Unpooled.wrappedBuffer(response.body(), 0, half ? length / 2 : length);
+        FullHttpResponse answer =
+                new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1,
+                        HttpResponseStatus.valueOf(response.status()),
+                        content);
+        answer.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, length);
+        response.headers().forEach((name, value) -> answer.headers().set(name, value));
+        var written = context.writeAndFlush(answer);
+        if (half) {
+            written.addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext context) {
+        mHandler.closed(mConnection);
+        context.fireChannelInactive();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+        // Callers that are killed or cut reset their connections; that is part of the runs.
+        context.close();
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/StandinMain.java
@@ -0,0 +1,65 @@
+package org.hyssoprouter.standin;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import java.io.File;
+import java.io.IOException;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Option;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * What the main programs of the stand-ins share.
+ *
+ * @since 0.1
+ */
+public final class StandinMain {
+    private static final int EVENT_LOOPS = 2;
+
+    private StandinMain() {}
+
+    /**
+     * Parses a command line on which every option takes a value.
+     *
+     * @param args command line
+     * @param required names of options that must be given
+     * @param optional names of options that may be left out
+     * @throws ParseException if one is missing or unknown
+     */
+    public static CommandLine parse(String[] args, List<String> required, List<String> optional)
+            throws ParseException {
+        Options options = new Options();
+        for (String name : required) {
+            options.addOption(Option.builder().longOpt(name).hasArg().required().get());
+        }
+        for (String name : optional) {
+            options.addOption(Option.builder().longOpt(name).hasArg().get());
+        }
+        return new DefaultParser().parse(options, args);
+    }
+
+    /**
+     * Reads a list of hosts in JSON.
+     *
+     * @throws IOException if the file cannot be read or is malformed
+     */
+    public static List<HostInfo> readHosts(String file) throws IOException {
+        return MessageCodec.json().readValue(new File(file), new TypeReference<>() {});
+    }
+
+    /** Returns the few event loops of one process. */
+    public static EventLoopGroup eventLoops() {
+        return new NioEventLoopGroup(EVENT_LOOPS);
+    }
+
+    /** Starts an endpoint on a loopback port; it runs until the process ends. */
+    public static void serve(EventLoopGroup group, String port, StandinHandler handler) {
+        new HttpEndpoint(group, "127.0.0.1:" + port, handler).start();
+    }
+}
--- a/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/package-info.java
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/package-info.java
@@ -1,4 +1,4 @@
-/** To be described. */
+/** HTTP endpoint that the stand-ins share, and the process that hosts a whole fleet. */
 @NullMarked
 package org.hyssoprouter.standin;
 
--- /dev/null
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/platform/PlatformEndpoint.java
@@ -0,0 +1,182 @@
+package org.hyssoprouter.standin.platform;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.standin.Delays;
+import org.hyssoprouter.standin.FaultOrder;
+import org.hyssoprouter.standin.StandinHandler;
+import org.hyssoprouter.standin.StandinRequest;
+import org.hyssoprouter.standin.StandinResponse;
+import org.hyssoprouter.standin.StandinResponse.Delivery;
+import org.hyssoprouter.transport.Row;
+import org.hyssoprouter.transport.Transaction;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * HTTP form of the platform: table, objects, host list and orders for faults.
+ *
+ * @since 0.1
+ */
+public final class PlatformEndpoint implements StandinHandler {
+    private static final int MAX_VALUE_BYTES = 256 << 10;
+
+    private final PlatformCounters mCounters = new PlatformCounters();
+    private final MemoryTable mTable = new MemoryTable(mCounters);
+    private final ConcurrentHashMap<String, byte[]> mObjects = new ConcurrentHashMap<>();
+    private final HostRegistry mRegistry;
+    private final Delays mDelays;
+    private PlatformFaults mFaults = PlatformFaults.NONE;
+
+    /**
+     * Creates a platform with empty table and object store.
+     *
+     * @param group event loops for delays
+     * @param clock clock for the lag of the host list
+     * @param hosts fleet at the start
+     */
+    public PlatformEndpoint(EventLoopGroup group, MonotonicClock clock, List<HostInfo> hosts) {
+        mDelays = new Delays(group);
+        mRegistry = new HostRegistry(clock, hosts);
+    }
+
+    @Override
+    public CompletableFuture<StandinResponse> handle(StandinRequest request) throws IOException {
+        PlatformFaults faults = faults();
+        return switch (request.segment(0)) {
+            case "table", "objects" ->
+                    faults.outage()
+                            ? mDelays.later(faults.delayMillis(), StandinResponse.empty(503))
+                            : store(request, faults.delayMillis());
+            case "hosts" -> done(hosts(request, faults));
+            case "stats" -> done(StandinResponse.json(200, mCounters.stats()));
+            case "faults" -> {
+                order(request.body());
+                yield done(StandinResponse.empty(204));
+            }
+            default -> done(StandinResponse.empty(404));
+        };
+    }
+
+    private static CompletableFuture<StandinResponse> done(StandinResponse response) {
+        return CompletableFuture.completedFuture(response);
+    }
+
+    private synchronized PlatformFaults faults() {
+        return mFaults;
+    }
+
+    private synchronized void order(byte[] json) throws IOException {
+        mFaults = FaultOrder.apply(mFaults, json, PlatformFaults.class);
+    }
+
+    /** Takes one of the ordered lost replies, if any is left. */
+    private synchronized boolean takeLostReply() {
+        int left = mFaults.loseReplies();
+        if (left <= 0) {
+            return false;
+        }
+        mFaults = mFaults.withLoseReplies(left - 1);
+        return true;
+    }
+
+    /** Takes effect at once and answers late, so that a late answer shows an old state. */
+    private CompletableFuture<StandinResponse> store(StandinRequest request, long delayMillis)
+            throws IOException {
+        return switch (request.route()) {
+            case "POST /table/read" -> {
+                List<Row> rows = mTable.read(request.json(ReadBody.class).keys());
+                yield mDelays.later(delayMillis, StandinResponse.json(200, new Rows(rows)));
+            }
+            case "POST /table/scan" -> {
+                List<Row> rows = mTable.scan(request.json(ScanBody.class).prefix());
+                yield mDelays.later(delayMillis, StandinResponse.json(200, new Rows(rows)));
+            }
+            case "POST /table/commit" -> commit(request.json(Transaction.class), delayMillis);
+            default -> mDelays.later(delayMillis, object(request));
+        };
+    }
+
+    private CompletableFuture<StandinResponse> commit(Transaction transaction, long delayMillis) {
+        for (Transaction.Write write : transaction.writes()) {
+            byte[] value = write.value();
+            if (value != null && value.length > MAX_VALUE_BYTES) {
+                String message = write.key() + ": value is larger than " + MAX_VALUE_BYTES;
+                return mDelays.later(delayMillis, StandinResponse.text(413, message));
+            }
+        }
+        if (takeLostReply()) {
+            mDelays.run(faults().lateWriteMillis(), () -> mTable.commit(transaction));
+            StandinResponse lost = StandinResponse.empty(200).delivered(Delivery.CUT);
+            return mDelays.later(delayMillis, lost);
+        }
+        MemoryTable.CommitOutcome outcome = mTable.commit(transaction);
+        String conflictKey = outcome.conflictKey();
+        StandinResponse answer =
+                conflictKey == null
+                        ? StandinResponse.json(200, new Committed(outcome.version()))
+                        : StandinResponse.json(409, new Conflict(conflictKey));
+        return mDelays.later(delayMillis, answer);
+    }
+
+    private StandinResponse object(StandinRequest request) {
+        String key = request.segment(1);
+        return switch (request.method()) {
+            case "PUT" -> {
+                mCounters.addObjectWrite();
+                mObjects.put(key, request.body());
+                yield StandinResponse.empty(204);
+            }
+            case "GET" -> {
+                mCounters.addObjectRead();
+                byte[] content = mObjects.get(key);
+                yield content == null
+                        ? StandinResponse.empty(404)
+                        : StandinResponse.of(200, content);
+            }
+            case "DELETE" -> {
+                mCounters.addObjectWrite();
+                mObjects.remove(key);
+                yield StandinResponse.empty(204);
+            }
+            default -> StandinResponse.empty(405);
+        };
+    }
+
+    private StandinResponse hosts(StandinRequest request, PlatformFaults faults)
+            throws IOException {
+        if (request.method().equals("GET")) {
+            return faults.hostListOutage()
+                    ? StandinResponse.empty(503)
+                    : StandinResponse.json(
+                            200, new Hosts(mRegistry.list(faults.hostListLagMillis())));
+        }
+        String worker = request.segment(1);
+        if (worker.isEmpty()) {
+            mRegistry.put(request.json(HostInfo.class));
+            return StandinResponse.empty(204);
+        }
+        boolean known =
+                switch (request.segment(2)) {
+                    case "leave" -> mRegistry.leave(worker);
+                    case "remove" -> mRegistry.remove(worker);
+                    default -> false;
+                };
+        return StandinResponse.empty(known ? 204 : 404);
+    }
+
+    private record ReadBody(List<String> keys) {}
+
+    private record ScanBody(String prefix) {}
+
+    private record Rows(List<Row> rows) {}
+
+    private record Committed(long version) {}
+
+    private record Conflict(String key) {}
+
+    private record Hosts(List<HostInfo> hosts) {}
+}
--- /dev/null
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/platform/PlatformMain.java
@@ -0,0 +1,30 @@
+package org.hyssoprouter.standin.platform;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.util.List;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.ParseException;
+import org.hyssoprouter.standin.StandinMain;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * Runs the stand-in of the platform as a process.
+ *
+ * @since 0.1
+ */
+public final class PlatformMain {
+    private PlatformMain() {}
+
+    /** Takes {@code --port P --hosts FILE}, the file being a JSON list of hosts. */
+    public static void main(String[] args) throws ParseException, IOException {
+        CommandLine line = StandinMain.parse(args, List.of("port", "hosts"), List.of());
+        EventLoopGroup group = StandinMain.eventLoops();
+        PlatformEndpoint platform =
+                new PlatformEndpoint(
+                        group,
+                        MonotonicClock.system(),
+                        StandinMain.readHosts(line.getOptionValue("hosts")));
+        StandinMain.serve(group, line.getOptionValue("port"), platform);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/worker/WorkerEndpoint.java
@@ -0,0 +1,131 @@
+package org.hyssoprouter.standin.worker;
+
+import io.netty.channel.EventLoopGroup;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.standin.Connection;
+import org.hyssoprouter.standin.Delays;
+import org.hyssoprouter.standin.FaultOrder;
+import org.hyssoprouter.standin.StandinHandler;
+import org.hyssoprouter.standin.StandinRequest;
+import org.hyssoprouter.standin.StandinResponse;
+import org.hyssoprouter.transport.LeaseRenewal;
+import org.hyssoprouter.transport.StartOrder;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * HTTP form of a worker.
+ *
+ * @since 0.1
+ */
+public final class WorkerEndpoint implements StandinHandler {
+    /** Period in which ended tasks and lapsed leases are noticed between calls. */
+    private static final long ADVANCE_MILLIS = 10;
+
+    private static final String START_ROUTE = "POST /tasks";
+
+    private final WorkerState mState;
+    private final Delays mDelays;
+    private final Set<Connection> mConnections = ConcurrentHashMap.newKeySet();
+    private volatile WorkerFaults mFaults = WorkerFaults.NONE;
+
+    /**
+     * Creates a worker without tasks.
+     *
+     * @param group event loops for delays and the passing of time
+     * @param clock the worker's own clock
+     * @param worker name
+     * @param capacity room of the worker
+     */
+    public WorkerEndpoint(
+            EventLoopGroup group, MonotonicClock clock, String worker, Room capacity) {
+        mState = new WorkerState(worker, capacity, clock, Clock.systemUTC());
+        mDelays = new Delays(group);
+        var unused =
+                group.scheduleWithFixedDelay(
+                        mState::advance, ADVANCE_MILLIS, ADVANCE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public CompletableFuture<StandinResponse> handle(StandinRequest request) throws IOException {
+        return switch (request.route()) {
+            case "GET /history" -> done(StandinResponse.json(200, mState.history()));
+            case "POST /faults" -> {
+                order(request.body());
+                yield done(StandinResponse.empty(204));
+            }
+            default -> {
+                mConnections.add(request.connection());
+                yield call(request);
+            }
+        };
+    }
+
+    private static CompletableFuture<StandinResponse> done(StandinResponse response) {
+        return CompletableFuture.completedFuture(response);
+    }
+
+    @Override
+    public void closed(Connection connection) {
+        mConnections.remove(connection);
+    }
+
+    private synchronized void order(byte[] json) throws IOException {
+        WorkerFaults ordered = FaultOrder.apply(mFaults, json, WorkerFaults.class);
+        mFaults = ordered.withoutSilenceOpen();
+        if (ordered.silenceOpen()) {
+            mConnections.forEach(Connection::silence);
+        }
+    }
+
+    private CompletableFuture<StandinResponse> call(StandinRequest request) throws IOException {
+        WorkerFaults faults = mFaults;
+        if (faults.silent()) {
+            return new CompletableFuture<>();
+        }
+        if (faults.failStarts() && request.route().equals(START_ROUTE)) {
+            return mDelays.later(
+                    faults.delayMillis(), StandinResponse.text(500, "ordered to fail starts"));
+        }
+        Call call = decode(request, faults);
+        return mDelays.after(
+                faults.delayMillis(),
+                () -> mDelays.later(faults.answerDelayMillis(), answer(call)));
+    }
+
+    private Call decode(StandinRequest request, WorkerFaults faults) throws IOException {
+        return switch (request.route()) {
+            case "POST /lease" -> {
+                LeaseRenewal renewal = request.json(LeaseRenewal.class);
+                yield () -> mState.renew(renewal);
+            }
+            case START_ROUTE -> {
+                StartOrder start = request.json(StartOrder.class);
+                yield () -> mState.start(start, faults.failTasks());
+            }
+            case "POST /tasks/stop" -> {
+                StopOrder stop = request.json(StopOrder.class);
+                yield () -> mState.stop(stop);
+            }
+            default -> throw new IllegalArgumentException("no such call: " + request.route());
+        };
+    }
+
+    private static StandinResponse answer(Call call) {
+        try {
+            return StandinResponse.json(200, call.run());
+        } catch (RefusedException e) {
+            return StandinResponse.text(409, String.valueOf(e.getMessage()));
+        }
+    }
+
+    /** A decoded call, run when its delay is over. */
+    private interface Call {
+        Object run() throws RefusedException;
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/Room.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/Room.java
@@ -1,5 +1,7 @@
 package org.hyssoprouter.lib;
 
+import com.fasterxml.jackson.annotation.JsonIgnore;
+
 /**
  * Amount of each resource that a task needs or a worker has.
  *
@@ -44,6 +46,7 @@
     }
 
     /** Returns whether any component is below zero. */
+    @JsonIgnore
     public boolean isNegative() {
         return cpuMillis < 0 || memoryBytes < 0 || accelerators < 0;
     }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/lib/RoomTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/lib/RoomTest.java
@@ -5,6 +5,8 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.constraints.IntRange;
+import org.hyssoprouter.util.MessageCodec;
+import org.junit.jupiter.api.Test;
 
 class RoomTest {
     @Property(seed = "11")
@@ -16,4 +18,11 @@
         Room other = new Room(cpu, memory, accelerators);
         assertEquals(base, base.plus(other).minus(other));
     }
+
+    @Test
+    void jsonFormIsReadBack() throws Exception {
+        Room room = new Room(1, 2, 3);
+        String json = MessageCodec.json().writeValueAsString(room);
+        assertEquals(room, MessageCodec.json().readValue(json, Room.class));
+    }
 }
