--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/ShardHolding.java
@@ -0,0 +1,67 @@
+package org.hyssoprouter.daemon.ownership;
+
+import org.hyssoprouter.internal.journal.Journal;
+import org.hyssoprouter.internal.ownership.Confirmation;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.internal.ownership.ShardContext;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.jspecify.annotations.Nullable;
+
+/** A shard under one epoch of this daemon, from the takeover on; written by the poll thread. */
+final class ShardHolding {
+    private final Journal mJournal;
+    private final Confirmation mConfirmation;
+    private volatile ShardRow mRow;
+    private volatile @Nullable OwnedShard mShard;
+    private volatile boolean mEnded;
+
+    ShardHolding(ShardRow row, Journal journal, Confirmation confirmation) {
+        mRow = row;
+        mJournal = journal;
+        mConfirmation = confirmation;
+    }
+
+    ShardRow row() {
+        return mRow;
+    }
+
+    void rowWritten(ShardRow row, long version) {
+        mRow = row;
+        mJournal.rowWritten(version);
+    }
+
+    Journal journal() {
+        return mJournal;
+    }
+
+    Confirmation confirmation() {
+        return mConfirmation;
+    }
+
+    @Nullable OwnedShard shard() {
+        return mShard;
+    }
+
+    boolean hasEnded() {
+        return mEnded;
+    }
+
+    ShardContext context() {
+        return new ShardContext(mRow.shard(), mRow.region(), mRow.epoch(), mJournal, mConfirmation);
+    }
+
+    void opened(OwnedShard shard) {
+        mShard = shard;
+    }
+
+    /** Ends the right to act first, then the journal, then the shard itself. */
+    void end() {
+        mEnded = true;
+        mConfirmation.revoke();
+        mJournal.close();
+        OwnedShard shard = mShard;
+        if (shard != null) {
+            shard.stop();
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/ShardKeeper.java
@@ -0,0 +1,268 @@
+package org.hyssoprouter.daemon.ownership;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.journal.CommitLane;
+import org.hyssoprouter.internal.journal.Committed;
+import org.hyssoprouter.internal.journal.GroupWriter;
+import org.hyssoprouter.internal.journal.Journal;
+import org.hyssoprouter.internal.journal.RecoveredShard;
+import org.hyssoprouter.internal.journal.Recovery;
+import org.hyssoprouter.internal.ownership.CellKeys;
+import org.hyssoprouter.internal.ownership.Confirmation;
+import org.hyssoprouter.internal.ownership.DaemonRow;
+import org.hyssoprouter.internal.ownership.LivenessView;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.hyssoprouter.transport.Transaction;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * Takes shards over, recovers and opens them, and closes them when they are lost. All methods but
+ * {@link #owned} and {@link #holdings} are for the poll thread.
+ */
+final class ShardKeeper {
+    private static final System.Logger LOG = System.getLogger(ShardKeeper.class.getName());
+
+    private final OwnershipSettings mSettings;
+    private final DaemonRow mSelf;
+    private final GroupWriter mWriter;
+    private final CommitLane mCommits;
+    private final Recovery mRecovery;
+    private final OwnedShard.Factory mFactory;
+    private final LivenessView mLiveness;
+    private final MonotonicClock mClock;
+    private final TaskThread mPoll;
+    private final TaskThread mWork;
+    private final Map<String, ShardHolding> mHoldings = new ConcurrentHashMap<>();
+    private final Set<String> mClaims = new HashSet<>();
+
+    ShardKeeper(
+            OwnershipSettings settings,
+            DaemonRow self,
+            GroupWriter writer,
+            CommitLane commits,
+            Recovery recovery,
+            OwnedShard.Factory factory,
+            LivenessView liveness,
+            MonotonicClock clock,
+            TaskThread poll,
+            TaskThread work) {
+        mSettings = settings;
+        mSelf = self;
+        mWriter = writer;
+        mCommits = commits;
+        mRecovery = recovery;
+        mFactory = factory;
+        mLiveness = liveness;
+        mClock = clock;
+        mPoll = poll;
+        mWork = work;
+    }
+
+    Collection<ShardHolding> holdings() {
+        return mHoldings.values();
+    }
+
+    Option<OwnedShard> owned(String shard) {
+        return Option.of(mHoldings.get(shard)).flatMap(holding -> Option.of(holding.shard()));
+    }
+
+    /** Drops what another daemon has taken over. */
+    void dropLost(CellView view) {
+        for (ShardHolding holding : List.copyOf(mHoldings.values())) {
+            long epoch = view.shard(holding.row().shard()).map(ShardRow::epoch).getOrElse(0L);
+            if (epoch > holding.row().epoch()) {
+                drop(holding, "a newer epoch was read");
+            }
+        }
+    }
+
+    /** Adopts what another daemon has handed to this one. */
+    void adoptGiven(CellView view) {
+        for (ShardRow row : view.shards()) {
+            boolean isOurs =
+                    row.owner().equals(mSelf.name())
+                            && row.incarnation().equals(mSelf.incarnation());
+            if (isOurs && isIdle(row.shard())) {
+                long version = view.version(CellKeys.shard(row.shard()));
+                mClaims.add(row.shard());
+                confirmAdoption(row, version);
+            }
+        }
+    }
+
+    /** Returns whether this daemon neither holds nor claims a shard. */
+    boolean isIdle(String shard) {
+        return !mHoldings.containsKey(shard) && !mClaims.contains(shard);
+    }
+
+    /** Takes a shard over from a daemon that is counted dead, or that never was. */
+    void takeOver(ShardRow row, CellView view) {
+        if (!mLiveness.beginTakeover(row.owner())) {
+            return;
+        }
+        Transaction transaction = claim(row, view);
+        if (!row.owner().isEmpty()) {
+            // The owner's right to act ends with its groups: none may have come since the last
+            // read.
+            String owner = CellKeys.daemon(row.owner());
+            transaction.check(owner, view.version(owner));
+        }
+        submit(row, transaction, mLiveness::endTakeover);
+    }
+
+    /** Takes a shard over from an older incarnation of this daemon. */
+    void takeBack(ShardRow row, CellView view) {
+        submit(row, claim(row, view), () -> {});
+    }
+
+    private Transaction claim(ShardRow row, CellView view) {
+        String key = CellKeys.shard(row.shard());
+        mClaims.add(row.shard());
+        return Transaction.create()
+                .check(key, view.version(key))
+                .put(key, MessageCodec.encode(ownedBy(row, mSelf)));
+    }
+
+    static ShardRow ownedBy(ShardRow row, DaemonRow owner) {
+        return new ShardRow(
+                row.shard(),
+                row.region(),
+                owner.name(),
+                owner.incarnation(),
+                owner.peerAddress(),
+                row.epoch() + 1,
+                row.snapshot(),
+                row.snapshotSequence());
+    }
+
+    private void submit(ShardRow row, Transaction transaction, Runnable afterwards) {
+        CompletableFuture<Void> unused =
+                mCommits.submit(() -> transaction, mSettings.pollMillis(), committed -> {})
+                        .thenAccept(result -> mPoll.execute(() -> settle(row, result, afterwards)));
+    }
+
+    private void settle(ShardRow row, Either<TableError, Committed> result, Runnable afterwards) {
+        try {
+            claimed(ownedBy(row, mSelf), result);
+        } finally {
+            // Only now that the holding is known may a peer be told that nothing is under way.
+            afterwards.run();
+        }
+    }
+
+    // A row that names this daemon is confirmed by a group before anything is done under it.
+    private void confirmAdoption(ShardRow row, long version) {
+        Transaction check = Transaction.create().check(CellKeys.shard(row.shard()), version);
+        CompletableFuture<Void> unused =
+                mCommits.submit(() -> check, mSettings.pollMillis(), committed -> {})
+                        .thenAccept(result -> mPoll.execute(() -> adopted(row, version, result)));
+    }
+
+    private void adopted(ShardRow row, long version, Either<TableError, Committed> result) {
+        claimed(row, result.map(checked -> new Committed(version, checked.startedMillis())));
+    }
+
+    private void claimed(ShardRow row, Either<TableError, Committed> result) {
+        mClaims.remove(row.shard());
+        if (result.isLeft()) {
+            return;
+        }
+        Committed committed = result.get();
+        Confirmation confirmation = new Confirmation(mClock, mSettings.confirmMillis());
+        confirmation.confirm(committed.startedMillis());
+        Journal journal =
+                new Journal(
+                        row.shard(),
+                        row.epoch(),
+                        CellKeys.shard(row.shard()),
+                        committed.version(),
+                        mWriter,
+                        mClock,
+                        new Fate(row, confirmation));
+        ShardHolding holding = new ShardHolding(row, journal, confirmation);
+        mHoldings.put(row.shard(), holding);
+        LOG.log(System.Logger.Level.INFO, "owns shard {0} epoch {1}", row.shard(), row.epoch());
+        journal.open();
+        mWork.execute(() -> recover(holding));
+    }
+
+    private void recover(ShardHolding holding) {
+        if (holding.hasEnded()) {
+            return;
+        }
+        ShardRow row = holding.row();
+        Either<TableError, RecoveredShard> history =
+                mRecovery.read(row.shard(), row.snapshot(), row.snapshotSequence());
+        if (history.isLeft()) {
+            mWork.later(() -> recover(holding), mSettings.pollMillis());
+            return;
+        }
+        mPoll.execute(() -> open(holding, history.get()));
+    }
+
+    private void open(ShardHolding holding, RecoveredShard history) {
+        if (holding.hasEnded()) {
+            return;
+        }
+        holding.journal().continueAfter(history.lastSequence());
+        OwnedShard shard = mFactory.open(holding.context(), history.events());
+        shard.start();
+        holding.opened(shard);
+        LOG.log(
+                System.Logger.Level.INFO,
+                "opened shard {0} with {1} events",
+                holding.row().shard(),
+                history.events().size());
+    }
+
+    private void lost(String shard, long epoch) {
+        ShardHolding holding = mHoldings.get(shard);
+        if (holding != null && holding.row().epoch() == epoch) {
+            drop(holding, "its row has changed");
+        }
+    }
+
+    /** Closes a shard and forgets it. */
+    void drop(ShardHolding holding, String reason) {
+        mHoldings.remove(holding.row().shard(), holding);
+        holding.end();
+        LOG.log(
+                System.Logger.Level.INFO,
+                "closed shard {0} epoch {1}: {2}",
+                holding.row().shard(),
+                holding.row().epoch(),
+                reason);
+    }
+
+    private final class Fate implements Journal.Listener {
+        private final ShardRow mRow;
+        private final Confirmation mConfirmation;
+
+        Fate(ShardRow row, Confirmation confirmation) {
+            mRow = row;
+            mConfirmation = confirmation;
+        }
+
+        @Override
+        public void confirmed(long startedMillis) {
+            mConfirmation.confirm(startedMillis);
+        }
+
+        @Override
+        public void lost() {
+            mConfirmation.revoke();
+            mPoll.execute(() -> ShardKeeper.this.lost(mRow.shard(), mRow.epoch()));
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/Snapshots.java
@@ -0,0 +1,105 @@
+package org.hyssoprouter.daemon.ownership;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.journal.CommitLane;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.journal.SnapshotStore;
+import org.hyssoprouter.internal.ownership.CellKeys;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.internal.ownership.ShardContext;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.hyssoprouter.transport.ObjectStore;
+import org.hyssoprouter.transport.Transaction;
+import org.hyssoprouter.util.MessageCodec;
+
+/** Writes a snapshot of each shard after a number of journal rows, and deletes these rows. */
+final class Snapshots {
+    private static final int ROWS_PER_DELETE = 50;
+
+    private final SnapshotStore mStore;
+    private final ObjectStore mObjects;
+    private final CommitLane mCommits;
+    private final OwnedShard.Factory mFactory;
+    private final int mSnapshotRows;
+    private final Executor mWork;
+
+    Snapshots(
+            SnapshotStore store,
+            ObjectStore objects,
+            CommitLane commits,
+            OwnedShard.Factory factory,
+            int snapshotRows,
+            Executor work) {
+        mStore = store;
+        mObjects = objects;
+        mCommits = commits;
+        mFactory = factory;
+        mSnapshotRows = snapshotRows;
+        mWork = work;
+    }
+
+    /** Writes the snapshot of a shard if it is due; blocks for the reads and the object. */
+    void writeIfDue(ShardHolding holding) {
+        ShardRow row = holding.row();
+        long rows = holding.journal().lastSequence() - row.snapshotSequence();
+        if (holding.hasEnded() || holding.shard() == null || rows < mSnapshotRows) {
+            return;
+        }
+        Either<TableError, SnapshotStore.Snapshot> stored =
+                mStore.store(
+                        row.shard(),
+                        row.epoch(),
+                        row.snapshot(),
+                        row.snapshotSequence(),
+                        events -> fold(holding.context(), events));
+        stored.peek(snapshot -> putInForce(holding, snapshot));
+    }
+
+    private List<ShardEvent> fold(ShardContext context, List<ShardEvent> events) {
+        return mFactory.open(context, events).snapshotEvents();
+    }
+
+    private void putInForce(ShardHolding holding, SnapshotStore.Snapshot snapshot) {
+        ShardRow old = holding.row();
+        ShardRow row =
+                new ShardRow(
+                        old.shard(),
+                        old.region(),
+                        old.owner(),
+                        old.incarnation(),
+                        old.peerAddress(),
+                        old.epoch(),
+                        snapshot.key(),
+                        snapshot.sequence());
+        String key = CellKeys.shard(row.shard());
+        CompletableFuture<Void> unused =
+                mCommits.submit(
+                                () ->
+                                        Transaction.create()
+                                                .check(key, holding.journal().rowVersion())
+                                                .put(key, MessageCodec.encode(row)),
+                                0,
+                                committed -> holding.rowWritten(row, committed.version()))
+                        .thenAcceptAsync(
+                                result -> result.peek(c -> cleanUp(old.snapshot(), snapshot)),
+                                mWork);
+    }
+
+    private void cleanUp(String oldKey, SnapshotStore.Snapshot snapshot) {
+        if (!oldKey.isEmpty()) {
+            // One that cannot be deleted now is only space that stays in use.
+            mObjects.delete(oldKey);
+        }
+        List<String> rowKeys = snapshot.rowKeys();
+        for (int first = 0; first < rowKeys.size(); first += ROWS_PER_DELETE) {
+            Transaction deletes = Transaction.create();
+            int end = Math.min(first + ROWS_PER_DELETE, rowKeys.size());
+            rowKeys.subList(first, end).forEach(deletes::delete);
+            CompletableFuture<Either<TableError, Boolean>> unused = mCommits.commit(deletes, 0);
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipServiceTest.java
@@ -0,0 +1,135 @@
+package org.hyssoprouter.daemon.ownership;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.internal.journal.GroupSettings;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.ownership.DaemonRow;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.lib.HostState;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.util.MonotonicClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+final class OwnershipServiceTest {
+    private static final OwnershipSettings SETTINGS =
+            new OwnershipSettings(50, 300, 150, 80, 5, new GroupSettings(5, 50, 10, 5000));
+
+    private final FakeTable mTable = new FakeTable();
+    private final Map<String, OwnershipService> mDaemons = new ConcurrentHashMap<>();
+    private final List<OwnershipService> mAll = new ArrayList<>();
+
+    @AfterEach
+    void stopAll() {
+        mAll.forEach(OwnershipService::stop);
+    }
+
+    private OwnershipService start(String name, String incarnation) {
+        DaemonRow self =
+                new DaemonRow(name, incarnation, "south", "d-" + name, name, name, 0, false);
+        HostInfo host =
+                new HostInfo("w", "south", "d1", "r", "w", HostState.LIVE, Room.NONE, List.of());
+        OwnershipService daemon =
+                new OwnershipService(
+                        SETTINGS,
+                        self,
+                        mTable,
+                        mTable,
+                        new HostListView(() -> Either.right(List.of(host))),
+                        new Peers(),
+                        RecordingShard::new,
+                        MonotonicClock.system());
+        mDaemons.put(name, daemon);
+        mAll.add(daemon);
+        daemon.start();
+        return daemon;
+    }
+
+    private OwnedShard awaitShard(OwnershipService daemon) {
+        await().until(() -> daemon.owned("d1").isDefined());
+        return daemon.owned("d1").get();
+    }
+
+    private static List<ShardEvent> drains(int from, int count) {
+        List<ShardEvent> events = new ArrayList<>();
+        for (int i = from; i < from + count; i++) {
+            events.add(new ShardEvent.WorkerDrained("w" + i, true));
+        }
+        return events;
+    }
+
+    private static void append(OwnedShard shard, List<ShardEvent> events) {
+        for (ShardEvent event : events) {
+            assertTrue(shard.context().log().append(List.of(event), 0).join().isRight());
+        }
+    }
+
+    @Test
+    void anotherDaemonRecoversTheShardOfOneThatDied() {
+        OwnershipService first = start("a", "1");
+        List<ShardEvent> events = drains(0, 12);
+        append(awaitShard(first), events);
+        OwnershipService second = start("b", "1");
+        first.stop();
+        OwnedShard shard = awaitShard(second);
+        assertEquals(2, shard.context().epoch());
+        assertEquals(events, shard.snapshotEvents());
+    }
+
+    @Test
+    void aStoppingDaemonHandsItsShardToALivePeer() {
+        OwnershipService first = start("a", "1");
+        append(awaitShard(first), drains(0, 3));
+        OwnershipService second = start("b", "1");
+        await().until(() -> first.liveDaemons().size() == 2);
+        assertTrue(first.handOver().join());
+        assertEquals(drains(0, 3), awaitShard(second).snapshotEvents());
+        assertTrue(first.owned("d1").isEmpty());
+    }
+
+    @Test
+    void ownersMayActThroughAnOutageOfTheTable() {
+        OwnershipService first = start("a", "1");
+        OwnershipService second = start("b", "1");
+        await().until(() -> first.owned("d1").isDefined() || second.owned("d1").isDefined());
+        OwnedShard shard = first.owned("d1").orElse(second.owned("d1")).get();
+        mTable.mOut = true;
+        long untilMillis = MonotonicClock.system().millis() + 3 * SETTINGS.deadAfterMillis();
+        await().until(
+                        () ->
+                                MonotonicClock.system().millis() > untilMillis
+                                        && shard.context().right().mayAct());
+        mTable.mOut = false;
+        append(shard, drains(0, 1));
+    }
+
+    private final class Peers implements PeerTransport {
+        @Override
+        public CompletableFuture<Either<CallError, byte[]>> call(
+                String address,
+                int type,
+                TrafficClass trafficClass,
+                byte[] payload,
+                long timeoutMillis) {
+            OwnershipService peer = mDaemons.get(address);
+            if (peer == null) {
+                return CompletableFuture.completedFuture(
+                        Either.left(CallError.notRun(CallError.Kind.UNREACHABLE, address)));
+            }
+            return peer.onTableStatus(payload).thenApply(Either::right);
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/RecordingShard.java
@@ -0,0 +1,45 @@
+package org.hyssoprouter.daemon.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.internal.ownership.ShardContext;
+
+/** Shard whose state is the list of its events. */
+final class RecordingShard implements OwnedShard {
+    private final ShardContext mContext;
+    private final List<ShardEvent> mHistory;
+    volatile boolean mStarted;
+
+    RecordingShard(ShardContext context, List<ShardEvent> history) {
+        mContext = context;
+        mHistory = new ArrayList<>(history);
+    }
+
+    @Override
+    public ShardContext context() {
+        return mContext;
+    }
+
+    @Override
+    public List<ShardEvent> snapshotEvents() {
+        return List.copyOf(mHistory);
+    }
+
+    @Override
+    public CompletableFuture<Boolean> quiesce() {
+        return CompletableFuture.completedFuture(true);
+    }
+
+    @Override
+    public void start() {
+        mStarted = true;
+    }
+
+    @Override
+    public void stop() {
+        mStarted = false;
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/EventList.java
@@ -0,0 +1,26 @@
+package org.hyssoprouter.internal.journal;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * Content of a journal row and of a snapshot.
+ *
+ * @param events encoded events, in order
+ */
+record EventList(List<byte[]> events) {
+    static byte[] encode(List<ShardEvent> events) {
+        return MessageCodec.encode(
+                new EventList(events.stream().map(MessageCodec::encode).toList()));
+    }
+
+    static List<ShardEvent> decode(byte[] bytes) throws IOException {
+        List<ShardEvent> events = new ArrayList<>();
+        for (byte[] event : MessageCodec.decode(bytes, EventList.class).events()) {
+            events.add(MessageCodec.decode(event, ShardEvent.class));
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/JournalKeys.java
@@ -0,0 +1,37 @@
+package org.hyssoprouter.internal.journal;
+
+import java.util.Locale;
+
+/**
+ * Keys of a shard's journal rows and snapshots.
+ *
+ * @since 0.1
+ */
+public final class JournalKeys {
+    private JournalKeys() {}
+
+    /** Returns the prefix of all journal rows of a shard. */
+    public static String prefix(String shard) {
+        return "journal/" + flat(shard) + "/";
+    }
+
+    /** Returns the key of a journal row; keys sort by epoch, then by sequence. */
+    public static String row(String shard, long epoch, long sequence) {
+        return prefix(shard) + String.format(Locale.ROOT, "%012d/%012d", epoch, sequence);
+    }
+
+    /** Returns the sequence in the key of a journal row. */
+    public static long sequenceOf(String key) {
+        return Long.parseLong(key.substring(key.lastIndexOf('/') + 1));
+    }
+
+    /** Returns the key of a snapshot object. */
+    public static String snapshot(String shard, long epoch, long sequence) {
+        return "snapshot-" + flat(shard) + "-" + epoch + "-" + sequence;
+    }
+
+    // A name with a slash would put its rows under the prefix of another shard.
+    private static String flat(String shard) {
+        return shard.replace('/', '~');
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/WriteGroup.java
@@ -0,0 +1,75 @@
+package org.hyssoprouter.internal.journal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hyssoprouter.transport.Transaction;
+
+/** Parts that go to the table in one transaction under one sequence of the daemon's own row. */
+final class WriteGroup {
+    private final long mSequence;
+    private final List<GroupPart> mParts = new ArrayList<>();
+    private final Map<String, Long> mChecked = new HashMap<>();
+    private final Set<String> mWritten = new HashSet<>();
+    private final Transaction mTransaction = Transaction.create();
+
+    WriteGroup(long sequence, OwnRow ownRow, long ownVersion) {
+        mSequence = sequence;
+        mTransaction.check(ownRow.key(), ownVersion);
+        mTransaction.put(ownRow.key(), ownRow.encode(sequence));
+    }
+
+    long sequence() {
+        return mSequence;
+    }
+
+    List<GroupPart> parts() {
+        return mParts;
+    }
+
+    Transaction transaction() {
+        return mTransaction;
+    }
+
+    /**
+     * Adds a part unless it must see the effect of one that is already in the group.
+     *
+     * @return whether it was added
+     */
+    boolean add(GroupPart part) {
+        Transaction added = part.transaction();
+        if (dependsOnGroup(added)) {
+            return false;
+        }
+        for (Transaction.Check check : added.checks()) {
+            if (mChecked.put(check.key(), check.version()) == null) {
+                mTransaction.check(check.key(), check.version());
+            }
+        }
+        for (Transaction.Write write : added.writes()) {
+            mWritten.add(write.key());
+            mTransaction.writes().add(write);
+        }
+        mParts.add(part);
+        return true;
+    }
+
+    private boolean dependsOnGroup(Transaction added) {
+        for (Transaction.Check check : added.checks()) {
+            Long version = mChecked.get(check.key());
+            boolean otherVersion = version != null && version != check.version();
+            if (otherVersion || mWritten.contains(check.key())) {
+                return true;
+            }
+        }
+        return added.writes().stream().anyMatch(write -> mWritten.contains(write.key()));
+    }
+
+    /** Returns whether a part checks a key. */
+    static boolean checks(GroupPart part, String key) {
+        return part.transaction().checks().stream().anyMatch(check -> check.key().equals(key));
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/ownership/CellKeys.java
@@ -0,0 +1,32 @@
+package org.hyssoprouter.internal.ownership;
+
+/**
+ * Keys of the rows that every daemon reads each second.
+ *
+ * @since 0.1
+ */
+public final class CellKeys {
+    /** Prefix of all of them. */
+    public static final String PREFIX = "cell/";
+
+    /** Key of the configuration document. */
+    public static final String CONFIG = PREFIX + "config";
+
+    /** Prefix of the heartbeat rows. */
+    public static final String DAEMONS = PREFIX + "daemon/";
+
+    /** Prefix of the ownership rows. */
+    public static final String SHARDS = PREFIX + "shard/";
+
+    private CellKeys() {}
+
+    /** Returns the key of a daemon's heartbeat row. */
+    public static String daemon(String name) {
+        return DAEMONS + name;
+    }
+
+    /** Returns the key of a shard's row. */
+    public static String shard(String name) {
+        return SHARDS + name;
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/ownership/OwnedShard.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/ownership/OwnedShard.java
@@ -28,7 +28,8 @@
     @FunctionalInterface
     interface Factory {
         /**
-         * Opens a shard; it is started afterwards.
+         * Opens a shard; it is started afterwards. Until then it has no effect outside itself: an
+         * instance that is never started serves to fold a history into a snapshot.
          *
          * @param context ownership
          * @param history events since the shard's beginning, in order
