--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/package-info.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/package-info.java
@@ -1,4 +1,4 @@
-/** Starts a whole cell of processes on one machine, drives it and measures it. */
+/** To be described. */
 @NullMarked
 package org.hyssoprouter.bench;
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipServiceTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipServiceTest.java
@@ -19,6 +19,7 @@
 import org.hyssoprouter.lib.HostState;
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.transport.FakeTable;
 import org.hyssoprouter.transport.PeerTransport;
 import org.hyssoprouter.util.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
@@ -106,13 +107,13 @@
         OwnershipService second = start("b", "1");
         await().until(() -> first.owned("d1").isDefined() || second.owned("d1").isDefined());
         OwnedShard shard = first.owned("d1").orElse(second.owned("d1")).get();
-        mTable.mOut = true;
+        mTable.setOut(true);
         long untilMillis = MonotonicClock.system().millis() + 3 * SETTINGS.deadAfterMillis();
         await().until(
                         () ->
                                 MonotonicClock.system().millis() > untilMillis
                                         && shard.context().right().mayAct());
-        mTable.mOut = false;
+        mTable.setOut(false);
         append(shard, drains(0, 1));
     }
 
--- /dev/null
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/journal/GroupWriterTest.java
@@ -0,0 +1,205 @@
+package org.hyssoprouter.internal.journal;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Collectors;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.transport.FakeTable;
+import org.hyssoprouter.transport.FakeTable.Fault;
+import org.hyssoprouter.transport.Row;
+import org.hyssoprouter.transport.TableService;
+import org.hyssoprouter.transport.Transaction;
+
+/** Random appends and commits against a table that loses replies, delays effects and is out. */
+final class GroupWriterTest {
+    private static final GroupSettings SETTINGS = new GroupSettings(20, 1000, 100, 1000);
+    private static final String SHARD_KEY = "cell/shard/s";
+    private static final int STEPS = 300;
+    private static final int JOBS = 8;
+    private static final String OUTSIDE = "outside";
+
+    @Property(seed = "7201", tries = 300, shrinking = ShrinkingMode.OFF)
+    void acknowledgedEventsAreInTheJournalOnceAndInOrder(@ForAll long seed) {
+        new Scenario(seed).run();
+    }
+
+    private static final class Scenario {
+        private final FakeTable mTable = new FakeTable();
+        private final List<String> mAcknowledged = new ArrayList<>();
+        private final List<String> mRefused = new ArrayList<>();
+        private final List<String> mCommitted = new ArrayList<>();
+        private final List<String> mNotCommitted = new ArrayList<>();
+        private final Random mRandom;
+        private final Set<String> mDeleted = new TreeSet<>();
+        private long mNowMillis;
+        private boolean mFaulty = true;
+        private boolean mLost;
+
+        Scenario(long seed) {
+            mRandom = new Random(seed);
+        }
+
+        void run() {
+            long rowVersion = mTable.commit(Transaction.create().put(SHARD_KEY, new byte[0])).get();
+            GroupWriter writer =
+                    new GroupWriter(new Faulty(), new Own(), SETTINGS, () -> mNowMillis);
+            CommitLane lane = new CommitLane(writer, () -> mNowMillis);
+            Journal journal =
+                    new Journal(
+                            "s", 1, SHARD_KEY, rowVersion, writer, () -> mNowMillis, new Fate());
+            journal.open();
+            long lossStep = mRandom.nextInt(2 * STEPS);
+            for (int step = 0; step < STEPS; step++) {
+                act(journal, lane, step);
+                if (step == lossStep) {
+                    mTable.setOut(false);
+                    mTable.commit(Transaction.create().put(SHARD_KEY, new byte[0]));
+                }
+                mNowMillis += Math.min(writer.step(), mRandom.nextInt(60));
+            }
+            mFaulty = false;
+            mTable.setOut(false);
+            mTable.arriveLate();
+            for (int step = 0; step < STEPS; step++) {
+                mNowMillis += writer.step();
+            }
+            check(lossStep < STEPS);
+        }
+
+        private void act(Journal journal, CommitLane lane, int step) {
+            if (mRandom.nextInt(100) < 3) {
+                mTable.setOut(mRandom.nextBoolean());
+            }
+            if (mRandom.nextInt(100) < 10) {
+                mTable.arriveLate();
+            }
+            if (mRandom.nextInt(100) < 40) {
+                actOutside();
+            }
+            long withinMillis = mRandom.nextBoolean() ? 0 : mRandom.nextInt(300);
+            if (mRandom.nextInt(100) < 60) {
+                String name = "e" + step;
+                CompletableFuture<?> unused =
+                        journal.append(List.of(new ShardEvent.JobCancelled(name)), withinMillis)
+                                .whenComplete(
+                                        (r, e) ->
+                                                (r.isRight() ? mAcknowledged : mRefused).add(name));
+            }
+            if (mRandom.nextInt(100) < 20) {
+                String key = "job/" + mRandom.nextInt(JOBS);
+                String name = key + "=" + step;
+                Transaction claim =
+                        Transaction.create()
+                                .check(key, Transaction.ABSENT)
+                                .put(key, name.getBytes(UTF_8));
+                CompletableFuture<?> unused =
+                        lane.commit(claim, withinMillis)
+                                .whenComplete(
+                                        (r, e) ->
+                                                (r.isRight() ? mCommitted : mNotCommitted)
+                                                        .add(name));
+            }
+        }
+
+        private void check(boolean isLossCertain) {
+            List<String> found =
+                    new Recovery(mTable, mTable)
+                            .read("s", "", 0).get().events().stream()
+                                    .map(event -> ((ShardEvent.JobCancelled) event).job())
+                                    .toList();
+            assertEquals(mAcknowledged, found, "acknowledged, then found in the journal");
+            assertTrue(
+                    found.stream().noneMatch(mRefused::contains), "refused and yet in the journal");
+            assertEquals(isLossCertain, mLost);
+            Set<String> jobs = values("job/");
+            assertTrue(jobs.stream().noneMatch(mNotCommitted::contains), "refused, yet committed");
+            mCommitted.removeAll(mDeleted);
+            jobs.remove(OUTSIDE);
+            assertEquals(new TreeSet<>(mCommitted), jobs);
+        }
+
+        private Set<String> values(String prefix) {
+            return mTable.scan(prefix).get().stream()
+                    .map(row -> new String(row.value(), UTF_8))
+                    .collect(Collectors.toCollection(TreeSet::new));
+        }
+
+        // Another writer makes and deletes the rows that the claims want to be absent.
+        private void actOutside() {
+            String key = "job/" + mRandom.nextInt(JOBS);
+            Transaction write = Transaction.create();
+            if (mTable.scan(key).map(List::isEmpty).getOrElse(true)) {
+                write.put(key, OUTSIDE.getBytes(UTF_8));
+            } else {
+                mDeleted.addAll(values(key));
+                write.delete(key);
+            }
+            mTable.commit(write);
+        }
+
+        private final class Faulty implements TableService {
+            @Override
+            public Either<TableError, List<Row>> read(Collection<String> keys) {
+                return mTable.read(keys);
+            }
+
+            @Override
+            public Either<TableError, List<Row>> scan(String prefix) {
+                return mTable.scan(prefix);
+            }
+
+            @Override
+            public Either<TableError, Long> commit(Transaction transaction) {
+                boolean isFault = mFaulty && mRandom.nextInt(100) < 40;
+                Fault[] faults = Fault.values();
+                return mTable.commit(
+                        transaction, isFault ? faults[mRandom.nextInt(faults.length)] : Fault.NONE);
+            }
+        }
+
+        private static final class Own implements OwnRow {
+            @Override
+            public String key() {
+                return "cell/daemon/a";
+            }
+
+            @Override
+            public byte[] encode(long sequence) {
+                return ByteBuffer.allocate(Long.BYTES).putLong(sequence).array();
+            }
+
+            @Override
+            public Option<Long> sequenceOf(byte[] value) {
+                return Option.some(ByteBuffer.wrap(value).getLong());
+            }
+        }
+
+        private final class Fate implements Journal.Listener {
+            @Override
+            public void confirmed(long startedMillis) {
+                assertFalse(mLost, "confirmed after the loss");
+            }
+
+            @Override
+            public void lost() {
+                mLost = true;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/transport/FakeTable.java
@@ -0,0 +1,120 @@
+package org.hyssoprouter.transport;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.hyssoprouter.errors.TableError;
+
+/** Table and object store in memory, with faults on order. */
+public final class FakeTable implements TableService, ObjectStore {
+    /** What happens to a commit. */
+    public enum Fault {
+        /** It works. */
+        NONE,
+        /** It is refused before any effect. */
+        UNAVAILABLE,
+        /** It is lost on its way, and so is the reply. */
+        LOST_BEFORE_EFFECT,
+        /** It takes effect; the reply is lost. */
+        LOST_AFTER_EFFECT,
+        /** The reply is lost and the effect, if still possible, comes with {@link #arriveLate}. */
+        LATE_EFFECT
+    }
+
+    private final TreeMap<String, Row> mRows = new TreeMap<>();
+    private final Map<String, byte[]> mObjects = new ConcurrentHashMap<>();
+    private final List<Transaction> mUnderWay = new ArrayList<>();
+    private long mVersion;
+    private long mCommits;
+    private boolean mOut;
+
+    /** Starts or ends an outage of reads and commits. */
+    public synchronized void setOut(boolean out) {
+        mOut = out;
+    }
+
+    /** Returns how many transactions took effect. */
+    public synchronized long commits() {
+        return mCommits;
+    }
+
+    /** Lets the late transactions arrive. */
+    public synchronized void arriveLate() {
+        mUnderWay.forEach(this::apply);
+        mUnderWay.clear();
+    }
+
+    @Override
+    public synchronized Either<TableError, List<Row>> read(Collection<String> keys) {
+        return unlessOut(mRows.values().stream().filter(r -> keys.contains(r.key())).toList());
+    }
+
+    @Override
+    public synchronized Either<TableError, List<Row>> scan(String prefix) {
+        return unlessOut(mRows.values().stream().filter(r -> r.key().startsWith(prefix)).toList());
+    }
+
+    @Override
+    public Either<TableError, Long> commit(Transaction transaction) {
+        return commit(transaction, Fault.NONE);
+    }
+
+    /** Commits with a fault. */
+    public synchronized Either<TableError, Long> commit(Transaction transaction, Fault fault) {
+        if (mOut || fault == Fault.UNAVAILABLE) {
+            return Either.left(TableError.unavailable("out"));
+        }
+        if (fault == Fault.LATE_EFFECT) {
+            mUnderWay.add(transaction);
+        }
+        if (fault == Fault.LATE_EFFECT || fault == Fault.LOST_BEFORE_EFFECT) {
+            return Either.left(TableError.unknown("no reply"));
+        }
+        Either<TableError, Long> result = apply(transaction);
+        return fault == Fault.NONE ? result : Either.left(TableError.unknown("no reply"));
+    }
+
+    private Either<TableError, Long> apply(Transaction transaction) {
+        for (Transaction.Check check : transaction.checks()) {
+            Row row = mRows.get(check.key());
+            if (check.version() != (row == null ? Transaction.ABSENT : row.version())) {
+                return Either.left(TableError.conflict(check.key()));
+            }
+        }
+        mVersion++;
+        mCommits++;
+        for (Transaction.Write write : transaction.writes()) {
+            byte[] value = write.value();
+            if (value == null) {
+                mRows.remove(write.key());
+            } else {
+                mRows.put(write.key(), new Row(write.key(), mVersion, value));
+            }
+        }
+        return Either.right(mVersion);
+    }
+
+    private <T> Either<TableError, T> unlessOut(T value) {
+        return mOut ? Either.left(TableError.unavailable("out")) : Either.right(value);
+    }
+
+    @Override
+    public synchronized Either<TableError, Boolean> put(String key, byte[] content) {
+        return unlessOut(mObjects.put(key, content) == null);
+    }
+
+    @Override
+    public synchronized Either<TableError, Option<byte[]>> get(String key) {
+        return unlessOut(Option.of(mObjects.get(key)));
+    }
+
+    @Override
+    public synchronized Either<TableError, Boolean> delete(String key) {
+        return unlessOut(mObjects.remove(key) != null);
+    }
+}
