--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
@@ -0,0 +1,213 @@
+package org.hyssoprouter.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.BooleanSupplier;
+import java.util.stream.Stream;
+import org.hyssoprouter.lib.ExecutorInfo;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.standin.executor.ExecutorHistory;
+import org.hyssoprouter.standin.platform.PlatformStats;
+import org.hyssoprouter.standin.worker.WorkerHistory;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * A running cell: the platform, a fleet of workers and executors, and the daemons, each a process
+ * of its own on loopback. Closing it ends them all, as does the end of this process.
+ *
+ * @since 0.1
+ */
+public final class Cell implements AutoCloseable {
+    private static final String PLATFORM_MAIN = "org.hyssoprouter.standin.platform.PlatformMain";
+    private static final String FLEET_MAIN = "org.hyssoprouter.standin.FleetMain";
+    private static final List<String> STANDIN_FLAGS =
+            List.of("-Xmx256m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1");
+    private static final long START_TIMEOUT_MILLIS = 40_000;
+    private static final long POLL_MILLIS = 50;
+
+    /** Property of the virtual machine that keeps the folder with settings and logs. */
+    private static final String KEEP_PROPERTY = "hyssop.bench.keep";
+
+    private final Path mFolder;
+    private final String mPlatformAddress;
+    private final List<HostInfo> mHosts;
+    private final List<ChildProcess> mStandins = new ArrayList<>();
+    private final List<DaemonProcess> mDaemons = new ArrayList<>();
+    private final CellClient mClient = new CellClient();
+    private final Thread mShutdownHook = new Thread(this::endProcesses);
+
+    private Cell(CellPlan plan) throws IOException {
+        FreePorts ports = new FreePorts();
+        mFolder = Files.createTempDirectory("hyssop-cell");
+        mPlatformAddress = ports.nextAddress();
+        mHosts = plan.hosts(ports);
+        Runtime.getRuntime().addShutdownHook(mShutdownHook);
+    }
+
+    /**
+     * Starts the processes and waits until every daemon serves under the initial configuration.
+     *
+     * @throws IOException if a process cannot be started
+     * @throws IllegalStateException if the cell does not come up in time
+     */
+    public static Cell start(CellPlan plan) throws IOException {
+        Cell cell = new Cell(plan);
+        try {
+            cell.startStandins();
+            cell.startDaemons(plan);
+            return cell;
+        } catch (IOException | RuntimeException e) {
+            cell.close();
+            throw e;
+        }
+    }
+
+    /** Returns the client of callers and operators. */
+    public CellClient client() {
+        return mClient;
+    }
+
+    /** Returns the daemons. */
+    public List<DaemonProcess> daemons() {
+        return mDaemons;
+    }
+
+    /**
+     * Returns a daemon by name.
+     *
+     * @throws IllegalArgumentException if there is none
+     */
+    public DaemonProcess daemon(String name) {
+        return mDaemons.stream()
+                .filter(daemon -> daemon.name().equals(name))
+                .findFirst()
+                .orElseThrow(() -> new IllegalArgumentException("no daemon " + name));
+    }
+
+    /** Returns a daemon that runs and is not one of {@code excluded}. */
+    public DaemonProcess liveDaemonExcept(Collection<DaemonProcess> excluded) {
+        return mDaemons.stream()
+                .filter(daemon -> daemon.process().isAlive() && !excluded.contains(daemon))
+                .findFirst()
+                .orElseThrow(() -> new IllegalStateException("no other daemon is alive"));
+    }
+
+    /** Returns the fleet as it was at the start. */
+    public List<HostInfo> hosts() {
+        return mHosts;
+    }
+
+    /** Returns {@code ip:port} of the platform. */
+    public String platformAddress() {
+        return mPlatformAddress;
+    }
+
+    /** Returns what the platform did so far. */
+    public PlatformStats platformStats() {
+        return mClient.get(mPlatformAddress, "/stats", PlatformStats.class);
+    }
+
+    /** Returns the histories of all workers. */
+    public List<WorkerHistory> workerHistories() {
+        return mHosts.stream()
+                .map(host -> mClient.get(host.address(), "/history", WorkerHistory.class))
+                .toList();
+    }
+
+    /** Returns the histories of all executors. */
+    public List<ExecutorHistory> executorHistories() {
+        return executors().stream()
+                .map(info -> mClient.get(info.address(), "/history", ExecutorHistory.class))
+                .toList();
+    }
+
+    /** Returns all executors. */
+    public List<ExecutorInfo> executors() {
+        return mHosts.stream().flatMap(host -> host.executors().stream()).toList();
+    }
+
+    /**
+     * Waits for a condition.
+     *
+     * @param what what is waited for, for the message
+     * @throws IllegalStateException if it does not come true within {@code timeoutMillis}
+     */
+    public static void await(String what, long timeoutMillis, BooleanSupplier condition) {
+        long deadlineNanos = System.nanoTime() + timeoutMillis * 1_000_000;
+        while (!condition.getAsBoolean()) {
+            if (System.nanoTime() > deadlineNanos) {
+                throw new IllegalStateException("not within " + timeoutMillis + " ms: " + what);
+            }
+            pause(POLL_MILLIS);
+        }
+    }
+
+    /** Lets time pass. */
+    public static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+            throw new IllegalStateException("interrupted", e);
+        }
+    }
+
+    @Override
+    public void close() {
+        endProcesses();
+        mClient.close();
+        if (System.getProperty(KEEP_PROPERTY) == null) {
+            deleteFolder();
+        }
+        Runtime.getRuntime().removeShutdownHook(mShutdownHook);
+    }
+
+    private void startStandins() throws IOException {
+        Path hostsFile = mFolder.resolve("hosts.json");
+        MessageCodec.json().writeValue(hostsFile.toFile(), mHosts);
+        String port = mPlatformAddress.substring(mPlatformAddress.indexOf(':') + 1);
+        List<String> platformArgs = List.of("--port", port, "--hosts", hostsFile.toString());
+        List<String> fleetArgs = List.of("--hosts", hostsFile.toString());
+        mStandins.add(
+                ChildProcess.java("platform", mFolder, STANDIN_FLAGS, PLATFORM_MAIN, platformArgs));
+        mStandins.add(ChildProcess.java("fleet", mFolder, STANDIN_FLAGS, FLEET_MAIN, fleetArgs));
+        await("platform", START_TIMEOUT_MILLIS, () -> mClient.isOk(mPlatformAddress, "/stats"));
+        for (HostInfo host : mHosts) {
+            await(
+                    host.worker(),
+                    START_TIMEOUT_MILLIS,
+                    () -> mClient.isOk(host.address(), "/history"));
+        }
+    }
+
+    private void startDaemons(CellPlan plan) throws IOException {
+        FreePorts ports = new FreePorts();
+        for (CellPlan.Domain domain : plan.domains()) {
+            for (int i = 0; i < domain.daemons(); i++) {
+                String name = "d-" + domain.name() + "-" + i;
+                mDaemons.add(
+                        DaemonProcess.start(
+                                name, domain, mPlatformAddress, plan.settings(), ports, mFolder));
+            }
+        }
+    }
+
+    private void endProcesses() {
+        mDaemons.forEach(daemon -> daemon.process().close());
+        mStandins.forEach(ChildProcess::close);
+    }
+
+    private void deleteFolder() {
+        try (Stream<Path> files = Files.walk(mFolder)) {
+            files.sorted(Comparator.reverseOrder()).forEach(file -> file.toFile().delete());
+        } catch (IOException e) {
+            System.getLogger(Cell.class.getName())
+                    .log(System.Logger.Level.WARNING, "cannot delete " + mFolder, e);
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/DaemonProcess.java
@@ -0,0 +1,98 @@
+package org.hyssoprouter.bench;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * One daemon of a cell, with the process that runs it at present.
+ *
+ * @since 0.1
+ */
+public final class DaemonProcess {
+    private static final String MAIN_CLASS = "org.hyssoprouter.daemon.Hyssopd";
+    private static final List<String> FLAGS =
+            List.of("-Xmx96m", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xss256k");
+
+    private final String mName;
+    private final CellPlan.Domain mDomain;
+    private final String mHttpAddress;
+    private final Path mFolder;
+    private final Path mSettingsFile;
+    private ChildProcess mProcess;
+
+    private DaemonProcess(
+            String name, CellPlan.Domain domain, String httpAddress, Path folder, Path settingsFile)
+            throws IOException {
+        mName = name;
+        mDomain = domain;
+        mHttpAddress = httpAddress;
+        mFolder = folder;
+        mSettingsFile = settingsFile;
+        mProcess = launch();
+    }
+
+    static DaemonProcess start(
+            String name,
+            CellPlan.Domain domain,
+            String platformAddress,
+            Map<String, String> settings,
+            FreePorts ports,
+            Path folder)
+            throws IOException {
+        String httpAddress = ports.nextAddress();
+        List<String> lines = new ArrayList<>();
+        lines.add("name: " + name);
+        lines.add("region: " + domain.region());
+        lines.add("domain: " + domain.name());
+        lines.add("http: " + httpAddress);
+        lines.add("peer: " + ports.nextAddress());
+        lines.add("platform: " + platformAddress);
+        lines.add("operatorToken: " + CellClient.OPERATOR_TOKEN);
+        settings.forEach((key, value) -> lines.add(key + ": " + value));
+        Path file = folder.resolve(name + ".yaml");
+        Files.write(file, lines);
+        return new DaemonProcess(name, domain, httpAddress, folder, file);
+    }
+
+    /** Returns the name from its settings. */
+    public String name() {
+        return mName;
+    }
+
+    /** Returns its region. */
+    public String region() {
+        return mDomain.region();
+    }
+
+    /** Returns its failure domain. */
+    public String domain() {
+        return mDomain.name();
+    }
+
+    /** Returns {@code ip:port} of its HTTP API. */
+    public String httpAddress() {
+        return mHttpAddress;
+    }
+
+    /** Returns the process that runs it, or ran it last. */
+    public synchronized ChildProcess process() {
+        return mProcess;
+    }
+
+    /** Starts it again with the same settings after its process has ended. */
+    public synchronized void restart() throws IOException {
+        if (mProcess.isAlive()) {
+            throw new IllegalStateException(mName + " still runs");
+        }
+        mProcess = launch();
+    }
+
+    private ChildProcess launch() throws IOException {
+        List<String> args = List.of("--config", mSettingsFile.toString());
+        return ChildProcess.java(mName, mFolder, FLAGS, MAIN_CLASS, args);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/FreePorts.java
@@ -0,0 +1,39 @@
+package org.hyssoprouter.bench;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.HashSet;
+import java.util.Random;
+import java.util.Set;
+
+/**
+ * Finds free loopback ports below the range that the system gives to outgoing connections, so that
+ * none is taken between its choice and its use by a connection of the cell itself.
+ */
+final class FreePorts {
+    private static final byte[] LOOPBACK = {127, 0, 0, 1};
+    private static final int FIRST = 10_000;
+    private static final int COUNT = 20_000;
+
+    private final Random mRandom = new Random(ProcessHandle.current().pid() ^ System.nanoTime());
+    private final Set<Integer> mTaken = new HashSet<>();
+
+    /** Returns {@code 127.0.0.1:port} of a port that was free and not returned before. */
+    String nextAddress() {
+        while (true) {
+            int port = FIRST + mRandom.nextInt(COUNT);
+            if (mTaken.add(port) && isFree(port)) {
+                return "127.0.0.1:" + port;
+            }
+        }
+    }
+
+    private static boolean isFree(int port) {
+        try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByAddress(LOOPBACK))) {
+            return socket.isBound();
+        } catch (IOException e) {
+            return false;
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/history/AtMostOnce.java
@@ -0,0 +1,31 @@
+package org.hyssoprouter.bench.history;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hyssoprouter.bench.CallerAnswer;
+
+/** A non-idempotent request runs at most once, however often it is sent. */
+final class AtMostOnce implements HistoryCheck {
+    @Override
+    public String promise() {
+        return "non-idempotent at most once";
+    }
+
+    @Override
+    public List<String> breaches(History history) {
+        Map<String, Integer> runs = history.runsByKey();
+        Set<String> seen = new HashSet<>();
+        List<String> breaches = new ArrayList<>();
+        for (CallerAnswer answer : history.answers()) {
+            String key = answer.request().key();
+            int count = runs.getOrDefault(key, 0);
+            if (!answer.request().idempotent() && count > 1 && seen.add(key)) {
+                breaches.add(key + " ran " + count + " times");
+            }
+        }
+        return breaches;
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/history/NothingNewOnLeaving.java
@@ -0,0 +1,69 @@
+package org.hyssoprouter.bench.history;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssoprouter.bench.history.History.Leave;
+import org.hyssoprouter.standin.executor.ExecutorHistory;
+import org.hyssoprouter.standin.worker.TaskEvent;
+import org.hyssoprouter.standin.worker.WorkerHistory;
+
+/** A host that is leaving gets no new request and no new task after a few seconds. */
+final class NothingNewOnLeaving implements HistoryCheck {
+    private static final long ALLOWED_MILLIS = 4_000;
+
+    @Override
+    public String promise() {
+        return "leaving target";
+    }
+
+    @Override
+    public List<String> breaches(History history) {
+        List<String> breaches = new ArrayList<>();
+        for (Leave leave : history.leaves()) {
+            long lastMillis = leave.wallMillis() + ALLOWED_MILLIS;
+            for (ExecutorHistory executor : history.executors()) {
+                if (leave.executors().contains(executor.executor())) {
+                    addLateRuns(executor, lastMillis, breaches);
+                }
+            }
+            for (WorkerHistory worker : history.workers()) {
+                if (leave.worker().equals(worker.worker())) {
+                    addLateStarts(worker, lastMillis, breaches);
+                }
+            }
+        }
+        return breaches;
+    }
+
+    private static void addLateRuns(
+            ExecutorHistory executor, long lastMillis, List<String> breaches) {
+        for (ExecutorHistory.Run run : executor.runs()) {
+            if (run.wallMillis() > lastMillis) {
+                breaches.add(
+                        executor.executor()
+                                + " got "
+                                + run.key()
+                                + late(run.wallMillis(), lastMillis));
+            }
+        }
+    }
+
+    private static void addLateStarts(
+            WorkerHistory worker, long lastMillis, List<String> breaches) {
+        for (TaskEvent event : worker.events()) {
+            if (event.event() == TaskEvent.Kind.STARTED && event.wallMillis() > lastMillis) {
+                breaches.add(
+                        worker.worker()
+                                + " got "
+                                + event.job()
+                                + "/"
+                                + event.index()
+                                + late(event.wallMillis(), lastMillis));
+            }
+        }
+    }
+
+    private static String late(long wallMillis, long lastMillis) {
+        return " " + (wallMillis - lastMillis + ALLOWED_MILLIS) + " ms after it began to leave";
+    }
+}
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/package-info.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/package-info.java
@@ -1,4 +1,4 @@
-/** To be described. */
+/** Starts a whole cell of processes on one machine, drives it and measures it. */
 @NullMarked
 package org.hyssoprouter.bench;
 
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
@@ -0,0 +1,254 @@
+package org.hyssoprouter.daemon.placement;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Clock;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.hyssoprouter.daemon.placement.WorkerLinks.Renewal;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.ownership.ShardContext;
+import org.hyssoprouter.internal.placement.JobBook;
+import org.hyssoprouter.internal.placement.LeaseTiming;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.JobView;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.transport.HostView;
+import org.hyssoprouter.transport.WorkerClient;
+import org.hyssoprouter.util.MonotonicClock;
+import org.hyssoprouter.util.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Places the jobs of one owned shard on its workers. Decisions are made in memory under the shard's
+ * lock; calls to the journal and to workers are made after it is released, in the same order.
+ *
+ * @since 0.1
+ */
+public final class ShardScheduler implements Service {
+    private static final long TICK_MILLIS = 200;
+    private static final long QUIET_POLL_MILLIS = 20;
+    private static final int PLACEMENTS_PER_STEP = 256;
+
+    private final ShardContext mContext;
+    private final HostView mHosts;
+    private final ScheduledExecutorService mTimer;
+    private final JobBook mBook;
+    private final WorkerLinks mLinks;
+    private final WorkerCalls mCalls;
+    private final ShardDecisions mDecisions;
+    private final JobDesk mDesk;
+    private final AtomicBoolean mPlacementQueued = new AtomicBoolean();
+    private volatile boolean mQuiesced;
+    private volatile boolean mStopped;
+    private long mHostRevision = -1;
+    private volatile @Nullable ScheduledFuture<?> mTick;
+
+    /**
+     * Creates the scheduler of a shard in the daemon's own region.
+     *
+     * @param context ownership
+     * @param history events since the shard's beginning, in order
+     * @param workers port to the workers; a call must end within one second
+     * @param hosts newest host list
+     * @param config configuration in force
+     * @param clock wall clock, for what operators see
+     * @param monotonic clock that leases are counted on
+     * @param timer threads for ticks and answers
+     */
+    public ShardScheduler(
+            ShardContext context,
+            List<ShardEvent> history,
+            WorkerClient workers,
+            HostView hosts,
+            ConfigView config,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer) {
+        this(context, history, workers, hosts, config, clock, monotonic, timer, true);
+    }
+
+    /**
+     * Creates the scheduler of a shard.
+     *
+     * @param settledBySilence whether silence of a worker proves that its lease has lapsed; false
+     *     in another region, from which the worker may be cut off while its former owner is not
+     */
+    public ShardScheduler(
+            ShardContext context,
+            List<ShardEvent> history,
+            WorkerClient workers,
+            HostView hosts,
+            ConfigView config,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer,
+            boolean settledBySilence) {
+        mContext = context;
+        mHosts = hosts;
+        mTimer = timer;
+        mBook = new JobBook(context.shard());
+        LeaseTiming timing = LeaseTiming.standard();
+        long now = monotonic.millis();
+        mLinks = new WorkerLinks(mBook, timing, settledBySilence, hosts.revision(), now);
+        mCalls =
+                new WorkerCalls(context, workers, mBook, mLinks, clock, monotonic, this::placeSoon);
+        mDecisions = mCalls.decisions();
+        mDesk = new JobDesk(context, config, mBook, mLinks, mCalls, timer, this::placeSoon);
+        for (ShardEvent event : history) {
+            mBook.apply(event, now);
+        }
+        mBook.resume(clock.millis());
+    }
+
+    @Override
+    public void start() {
+        mTick = mTimer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        mStopped = true;
+        mCalls.holdStarts();
+        ScheduledFuture<?> tick = mTick;
+        if (tick != null) {
+            tick.cancel(false);
+        }
+    }
+
+    /**
+     * Accepts a job; the answer comes once its acceptance is durable. The same job again gets the
+     * same answer.
+     */
+    public CompletableFuture<Either<Refusal, JobView>> submit(JobSpec spec) {
+        return mDesk.submit(spec);
+    }
+
+    /** Cancels a job; the answer comes once the cancellation is durable. */
+    public CompletableFuture<Either<Refusal, JobView>> cancel(String job) {
+        return mDesk.cancel(job);
+    }
+
+    /** Returns a job with its tasks, or none. */
+    public Option<JobView> view(String job) {
+        return mDesk.view(job);
+    }
+
+    /** Returns the newest jobs, without their tasks. */
+    public List<JobView> list(int limit) {
+        return mDecisions.read(() -> mBook.list(limit, mDecisions.wallMillis()));
+    }
+
+    /** Returns why a job waits or how it ended; empty for an unknown one. */
+    public String explain(String job) {
+        return view(job).map(JobView::reason).getOrElse("");
+    }
+
+    /**
+     * Takes a worker out of use, or puts it back; the answer comes once that is durable. The tasks
+     * of a drained worker move elsewhere.
+     */
+    public CompletableFuture<Either<Refusal, Boolean>> drainWorker(String worker, boolean drained) {
+        return mDesk.drainWorker(worker, drained);
+    }
+
+    /** Returns the free room of all workers that may receive work. */
+    public Room freeRoom() {
+        return mDecisions.read(() -> mBook.fleet().index().totalFree());
+    }
+
+    /** Returns the free room of the worker that has the most processor time free. */
+    public Room largestFree() {
+        return mDecisions.read(() -> mBook.fleet().index().largestFree());
+    }
+
+    /** Returns events that restore the durable state. */
+    public List<ShardEvent> snapshotEvents() {
+        return mDecisions.read(mBook::snapshotEvents);
+    }
+
+    /** Returns whether it is known what ran on every worker at the takeover. */
+    public boolean isSettled() {
+        return mDecisions.read(mLinks::isSettled);
+    }
+
+    /**
+     * Takes no new work and sends no new start. Leases are still renewed until {@link #stop}.
+     *
+     * @return completes when no start is under way and all that was decided is durable
+     */
+    public CompletableFuture<Boolean> quiesce() {
+        mQuiesced = true;
+        mDesk.close();
+        mCalls.holdStarts();
+        CompletableFuture<Boolean> quiet = new CompletableFuture<>();
+        awaitQuiet(quiet);
+        return quiet;
+    }
+
+    private void awaitQuiet(CompletableFuture<Boolean> quiet) {
+        if (mCalls.isQuiet()) {
+            quiet.complete(true);
+            return;
+        }
+        var unused =
+                mTimer.schedule(() -> awaitQuiet(quiet), QUIET_POLL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Follows the host list, renews leases that are due, and places what waits. */
+    void tick() {
+        long revision = mHosts.revision();
+        List<HostInfo> hosts = revision == mHostRevision ? null : mHosts.hostsOf(mContext.shard());
+        List<Renewal> renewals = mDecisions.decide(() -> review(hosts, revision));
+        renewals.forEach(mCalls::renew);
+        place();
+    }
+
+    private List<Renewal> review(@Nullable List<HostInfo> hosts, long revision) {
+        long now = mDecisions.nowMillis();
+        if (hosts != null && revision > 0) {
+            mHostRevision = revision;
+            mLinks.refresh(hosts, revision, now);
+        }
+        mLinks.review(now, mDecisions.wallMillis());
+        mBook.sendStops(now);
+        return mLinks.dueRenewals(now);
+    }
+
+    /** Places on a thread of the timer, because the caller may be one of the journal's. */
+    private void placeSoon() {
+        if (mStopped || !mPlacementQueued.compareAndSet(false, true)) {
+            return;
+        }
+        mTimer.execute(
+                () -> {
+                    mPlacementQueued.set(false);
+                    place();
+                });
+    }
+
+    /** Places in steps, so that the lock is never held for long. */
+    private void place() {
+        boolean more = true;
+        while (more && !mQuiesced && !mStopped && mContext.right().mayAct()) {
+            more = mDecisions.decide(this::placeStep);
+        }
+    }
+
+    private boolean placeStep() {
+        long now = mDecisions.nowMillis();
+        mLinks.review(now, mDecisions.wallMillis());
+        mBook.sendStops(now);
+        if (!mLinks.isSettled()) {
+            return false;
+        }
+        return mBook.place(now, mDecisions.wallMillis(), PLACEMENTS_PER_STEP);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLink.java
@@ -0,0 +1,110 @@
+package org.hyssoprouter.daemon.placement;
+
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.hyssoprouter.internal.placement.LeaseTiming;
+import org.hyssoprouter.internal.placement.WorkerLease;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.lib.HostState;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+
+/** What the driver knows of one worker; guarded by the shard's lock. */
+final class WorkerLink {
+    private final LeaseTiming mTiming;
+    private final WorkerLease mLease;
+    private final Set<AttemptId> mAcknowledged = new LinkedHashSet<>();
+    private HostInfo mHost;
+    private boolean mListed = true;
+    private boolean mSettled;
+    private boolean mNeedsAnswer;
+    private long mNextRenewalMillis;
+    private long mWorkerMillis;
+    private long mWorkerMillisSentMillis;
+
+    WorkerLink(HostInfo host, LeaseTiming timing, WorkerLease lease) {
+        mHost = host;
+        mTiming = timing;
+        mLease = lease;
+    }
+
+    WorkerLease lease() {
+        return mLease;
+    }
+
+    HostInfo host() {
+        return mHost;
+    }
+
+    void setHost(HostInfo host) {
+        mHost = host;
+        mListed = true;
+    }
+
+    /** Notes that the platform does not list the worker any more. */
+    void setUnlisted() {
+        mListed = false;
+        mLease.settleBySilence();
+    }
+
+    boolean isListed() {
+        return mListed;
+    }
+
+    /** Returns whether its tasks have to move elsewhere. */
+    boolean isLeaving(boolean drained) {
+        return drained || !mListed || mHost.state() == HostState.LEAVING;
+    }
+
+    /** Returns whether new tasks may be started on it. */
+    boolean isUsable(boolean drained, long nowMillis) {
+        return !isLeaving(drained) && !mNeedsAnswer && mLease.isFresh(nowMillis);
+    }
+
+    /** Returns whether it is known what ran on it at the takeover. */
+    boolean isSettled() {
+        return mSettled;
+    }
+
+    void setSettled() {
+        mSettled = true;
+    }
+
+    /** Sends no start until the next renewal is answered. */
+    void requireAnswer() {
+        mNeedsAnswer = true;
+        mNextRenewalMillis = Long.MIN_VALUE;
+    }
+
+    boolean isRenewalDue(long nowMillis) {
+        return nowMillis >= mNextRenewalMillis && mLease.grantMillis(nowMillis) > 0;
+    }
+
+    /** Notes that a renewal is sent and returns the attempts that it acknowledges. */
+    List<AttemptId> renewalSent(boolean used, long grantMillis, long nowMillis) {
+        mLease.sent(grantMillis, nowMillis);
+        boolean soon = used || !mLease.hasAnswered() || mNeedsAnswer;
+        mNextRenewalMillis = nowMillis + (soon ? mTiming.renewMillis() : mTiming.idleRenewMillis());
+        return List.copyOf(mAcknowledged);
+    }
+
+    /** Notes an answer to a renewal that was sent at an instant. */
+    void answered(
+            long workerMillis, long sentMillis, List<AttemptId> acknowledged, long nowMillis) {
+        mLease.answered(nowMillis);
+        mWorkerMillis = workerMillis;
+        mWorkerMillisSentMillis = sentMillis;
+        mAcknowledged.removeAll(acknowledged);
+        mNeedsAnswer = false;
+        mSettled = true;
+    }
+
+    void acknowledge(List<AttemptId> attempts) {
+        mAcknowledged.addAll(attempts);
+    }
+
+    /** Returns the instant on the worker's clock until which a start sent now is valid. */
+    long notAfterMillis(long nowMillis) {
+        return mWorkerMillis + (nowMillis - mWorkerMillisSentMillis) + mTiming.notAfterMillis();
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/Replies.java
@@ -0,0 +1,107 @@
+package org.hyssoprouter.daemon.request;
+
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.internal.journal.ShardEvent.ClaimSettled;
+import org.hyssoprouter.internal.request.ClaimBook;
+import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.transport.RequestReply;
+
+/** Final answers that are not an executor's own. */
+final class Replies {
+    static final long OWNER_RETRY_MILLIS = 500;
+    static final long TABLE_RETRY_MILLIS = 2000;
+    static final long EXECUTOR_RETRY_MILLIS = 500;
+
+    private Replies() {}
+
+    static RequestReply later(RefusalCode code, String message, long retryAfterMillis) {
+        return RequestReply.refused(Refusal.later(code, message, retryAfterMillis));
+    }
+
+    static RequestReply notRun(RefusalCode code, String message) {
+        return RequestReply.refused(Refusal.notRun(code, message));
+    }
+
+    static RequestReply mayHaveRun(RefusalCode code, String message) {
+        return RequestReply.refused(Refusal.mayHaveRun(code, message));
+    }
+
+    static Refusal notOwner() {
+        return Refusal.later(
+                RefusalCode.NO_OWNER,
+                "the shard has no owner that may act at present",
+                OWNER_RETRY_MILLIS);
+    }
+
+    static Refusal timeoutUnsent() {
+        return Refusal.later(RefusalCode.TIMEOUT, "the deadline passed before a slot was free", 1);
+    }
+
+    static Refusal tableOut() {
+        return Refusal.later(
+                RefusalCode.TABLE_UNAVAILABLE,
+                "the idempotency key cannot be recorded at present",
+                TABLE_RETRY_MILLIS);
+    }
+
+    static RequestReply inProgress(long retryAfterMillis) {
+        return RequestReply.refused(
+                new Refusal(
+                        RefusalCode.IN_PROGRESS,
+                        Verdict.MAY_HAVE_RUN,
+                        "a request with this idempotency key is being executed",
+                        null,
+                        Math.max(1, retryAfterMillis)));
+    }
+
+    static RequestReply keyExpired() {
+        // An earlier request with the key may have run, so NOT_RUN would invite a second run.
+        return mayHaveRun(
+                RefusalCode.KEY_EXPIRED, "the idempotency key is older than keys are kept");
+    }
+
+    static RequestReply stored(ClaimSettled outcome) {
+        if (outcome.verdict() == Verdict.MAY_HAVE_RUN) {
+            return mayHaveRun(
+                    RefusalCode.TARGET_FAILED,
+                    "an earlier request with this key was sent and its outcome is unknown");
+        }
+        if (outcome.status() == ClaimBook.NO_STORED_ANSWER) {
+            return RequestReply.refused(
+                    new Refusal(
+                            RefusalCode.CONFLICT,
+                            Verdict.RAN,
+                            "an earlier request with this key ran; its answer was not kept",
+                            null,
+                            0));
+        }
+        return RequestReply.ran(outcome.status(), outcome.body());
+    }
+
+    /** Returns the reply with NOT_RUN replaced, for a request of which another try may have run. */
+    static RequestReply asMayHaveRun(RequestReply reply) {
+        Refusal refusal = reply.refusal();
+        if (refusal == null || reply.verdict() != Verdict.NOT_RUN) {
+            return reply;
+        }
+        return RequestReply.refused(
+                new Refusal(
+                        refusal.code(),
+                        Verdict.MAY_HAVE_RUN,
+                        refusal.message(),
+                        refusal.field(),
+                        refusal.retryAfterMillis()));
+    }
+
+    static RequestReply failed(CallError error) {
+        RefusalCode code =
+                error.kind() == CallError.Kind.TIMEOUT
+                        ? RefusalCode.TIMEOUT
+                        : RefusalCode.TARGET_FAILED;
+        return error.verdict() == Verdict.NOT_RUN
+                ? later(RefusalCode.TARGET_FAILED, error.message(), EXECUTOR_RETRY_MILLIS)
+                : mayHaveRun(code, error.message());
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/RequestDesk.java
@@ -0,0 +1,263 @@
+package org.hyssoprouter.daemon.request;
+
+import io.vavr.control.Option;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.config.CustomerPolicy;
+import org.hyssoprouter.internal.config.EffectiveConfig;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.ownership.ShardContext;
+import org.hyssoprouter.internal.request.SlotLedger;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.transport.ExecutorClient;
+import org.hyssoprouter.transport.HostView;
+import org.hyssoprouter.transport.LoadDigest;
+import org.hyssoprouter.transport.LoadDigest.ServiceLoad;
+import org.hyssoprouter.transport.RequestOrder;
+import org.hyssoprouter.transport.RequestReply;
+import org.hyssoprouter.util.MonotonicClock;
+import org.hyssoprouter.util.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Owner's side of requests: decides alone what runs on the executors of one owned shard, and keeps
+ * the idempotency keys that have their home there.
+ *
+ * @since 0.1
+ */
+public final class RequestDesk implements Service {
+    private static final long TICK_MILLIS = 100;
+    private static final long DEFAULT_RETENTION_MILLIS = TimeUnit.HOURS.toMillis(24);
+
+    private final ShardContext mContext;
+    private final ConfigView mConfig;
+    private final MonotonicClock mMonotonic;
+    private final ScheduledExecutorService mTimer;
+    private final SlotLedger mLedger = new SlotLedger();
+    private final ConcurrentHashMap<String, ServiceQueue> mQueues = new ConcurrentHashMap<>();
+    private final ClaimDesk mClaims;
+    private final RequestSender mSender;
+    private final SlotPoll mPoll;
+    private final ClaimedRuns mClaimedRuns;
+    private volatile boolean mOpen;
+    private volatile @Nullable ScheduledFuture<?> mTick;
+
+    /**
+     * Creates the desk of a shard.
+     *
+     * @param context ownership
+     * @param history events of the shard since its beginning, in order
+     * @param executors port to executors
+     * @param hosts newest host list
+     * @param config configuration in force
+     * @param clock wall clock, for the age of idempotency keys
+     * @param monotonic clock for deadlines
+     * @param timer runs short tasks at their time
+     */
+    public RequestDesk(
+            ShardContext context,
+            List<ShardEvent> history,
+            ExecutorClient executors,
+            HostView hosts,
+            ConfigView config,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer) {
+        mContext = context;
+        mConfig = config;
+        mMonotonic = monotonic;
+        mTimer = timer;
+        mClaims = new ClaimDesk(context.log(), history, clock, this::retentionMillis);
+        mPoll = new SlotPoll(context, mLedger, executors, hosts, monotonic);
+        mSender = new RequestSender(context, mLedger, executors, monotonic);
+        mClaimedRuns = new ClaimedRuns(context, mClaims, mLedger, monotonic, this::enqueue);
+    }
+
+    /** Sets where claimed requests go when no executor of this shard is free. */
+    public void setDispatch(ClaimedDispatch dispatch) {
+        mClaimedRuns.setDispatch(dispatch);
+    }
+
+    @Override
+    public void start() {
+        mOpen = true;
+        mTick = mTimer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        mOpen = false;
+        ScheduledFuture<?> tick = mTick;
+        if (tick != null) {
+            tick.cancel(false);
+        }
+        refuseWaiting();
+    }
+
+    /**
+     * Handles a caller's request, claiming its idempotency key if it has to.
+     *
+     * @return completes with the final answer
+     */
+    public CompletableFuture<RequestReply> handle(RequestOrder order) {
+        return admit(order, true);
+    }
+
+    /**
+     * Handles a request whose key is claimed at the shard that sent it here.
+     *
+     * @return completes with the final answer
+     */
+    public CompletableFuture<RequestReply> handleClaimed(RequestOrder order) {
+        return admit(order, false);
+    }
+
+    private CompletableFuture<RequestReply> admit(RequestOrder order, boolean mayClaim) {
+        if (!mOpen || !mContext.right().mayAct()) {
+            return answered(RequestReply.refused(Replies.notOwner()));
+        }
+        Option<EffectiveConfig> config = mConfig.current();
+        if (config.isEmpty()) {
+            return answered(
+                    Replies.later(
+                            RefusalCode.NOT_READY,
+                            "no configuration yet",
+                            Replies.OWNER_RETRY_MILLIS));
+        }
+        Option<CustomerPolicy> policy = config.get().customer(order.customer());
+        if (policy.isEmpty()) {
+            return answered(
+                    Replies.notRun(RefusalCode.NOT_FOUND, "no customer named " + order.customer()));
+        }
+        RequestRun run = new RequestRun(order, policy.get(), mMonotonic.millis());
+        String key = order.key();
+        if (mayClaim && !order.idempotent() && key != null) {
+            mClaimedRuns.start(run, key);
+        } else {
+            enqueue(run);
+        }
+        watchDeadline(run);
+        return run.reply();
+    }
+
+    private static CompletableFuture<RequestReply> answered(RequestReply reply) {
+        return CompletableFuture.completedFuture(reply);
+    }
+
+    private void watchDeadline(RequestRun run) {
+        if (run.reply().isDone()) {
+            return;
+        }
+        long leftMillis = Math.max(1, run.leftMillis(mMonotonic.millis()));
+        run.setTimer(mTimer.schedule(() -> expire(run), leftMillis, TimeUnit.MILLISECONDS));
+    }
+
+    private void expire(RequestRun run) {
+        if (run.refuseUnsent(Replies.timeoutUnsent())) {
+            queueOf(run.order().service()).remove(run);
+            return;
+        }
+        run.answer(
+                Replies.mayHaveRun(RefusalCode.TIMEOUT, "no complete answer within the deadline"));
+    }
+
+    private void enqueue(RequestRun run) {
+        if (!mOpen) {
+            run.refuseUnsent(Replies.notOwner());
+            return;
+        }
+        ServiceQueue queue = queueOf(run.order().service());
+        queue.offer(run, mMonotonic.millis()).forEach(run::refuseUnsent);
+        if (!mOpen) {
+            refuseWaiting();
+        }
+        mSender.dispatch(queue);
+    }
+
+    private ServiceQueue queueOf(String service) {
+        return mQueues.computeIfAbsent(service, name -> new ServiceQueue(name, mLedger));
+    }
+
+    private void tick() {
+        if (!mContext.right().mayAct()) {
+            refuseWaiting();
+        }
+        mPoll.run(this::dispatchAll);
+        dispatchAll();
+    }
+
+    private void dispatchAll() {
+        mQueues.values().forEach(mSender::dispatch);
+    }
+
+    private void refuseWaiting() {
+        for (ServiceQueue queue : mQueues.values()) {
+            queue.drain().forEach(run -> run.refuseUnsent(Replies.notOwner()));
+        }
+    }
+
+    private long retentionMillis(String customer) {
+        return mConfig.current()
+                .flatMap(config -> config.customer(customer))
+                .map(CustomerPolicy::keyRetentionMillis)
+                .getOrElse(DEFAULT_RETENTION_MILLIS);
+    }
+
+    /** Returns the load of the shard's executors. */
+    public LoadDigest load() {
+        List<ServiceLoad> services = new ArrayList<>();
+        for (String service : mLedger.services()) {
+            services.add(queueOf(service).load());
+        }
+        return digest(services);
+    }
+
+    /** Returns the load of one service's executors. */
+    public LoadDigest load(String service) {
+        return digest(List.of(queueOf(service).load()));
+    }
+
+    private LoadDigest digest(List<ServiceLoad> services) {
+        return new LoadDigest(
+                mContext.shard(),
+                mContext.epoch(),
+                mMonotonic.millis(),
+                services,
+                Room.NONE,
+                Room.NONE);
+    }
+
+    /** Returns events that restore the claims of the shard. */
+    public List<ShardEvent> snapshotEvents() {
+        return mClaims.snapshotEvents();
+    }
+
+    /**
+     * Takes no new requests; those that were not sent are refused at once.
+     *
+     * @return completes when no request is in flight and no claim waits to be written
+     */
+    public CompletableFuture<Boolean> quiesce() {
+        mOpen = false;
+        refuseWaiting();
+        CompletableFuture<Boolean> done = new CompletableFuture<>();
+        awaitQuiet(done);
+        return done;
+    }
+
+    private void awaitQuiet(CompletableFuture<Boolean> done) {
+        if (mSender.inFlight() == 0 && !mClaimedRuns.isBusy() && !mClaims.isWriting()) {
+            done.complete(true);
+            return;
+        }
+        var unused = mTimer.schedule(() -> awaitQuiet(done), TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/ServiceQueue.java
@@ -0,0 +1,132 @@
+package org.hyssoprouter.daemon.request;
+
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.concurrent.locks.ReentrantLock;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.internal.request.Admission;
+import org.hyssoprouter.internal.request.FairQueue;
+import org.hyssoprouter.internal.request.SlotHold;
+import org.hyssoprouter.internal.request.SlotLedger;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.transport.LoadDigest.ServiceLoad;
+
+/** Requests that wait for the executors of one service, under a lock of their own. */
+final class ServiceQueue {
+    private static final int PERCENT = 100;
+
+    private final String mService;
+    private final SlotLedger mLedger;
+    private final ReentrantLock mLock = new ReentrantLock();
+    // Both are guarded by mLock.
+    private final FairQueue<RequestRun> mQueue = new FairQueue<>();
+    private final Admission mAdmission = new Admission();
+
+    ServiceQueue(String service, SlotLedger ledger) {
+        mService = service;
+        mLedger = ledger;
+    }
+
+    /** Adds a request, or returns why it cannot wait. */
+    Option<Refusal> offer(RequestRun run, long nowMillis) {
+        String customer = run.order().customer();
+        ServiceLoad load = mLedger.load(mService, 0);
+        mLock.lock();
+        try {
+            TrafficClass trafficClass = run.order().trafficClass();
+            int slots = slotsFor(run, load.slots());
+            int free = slots - Math.min(slots, load.inUse());
+            long waitMillis = mAdmission.waitMillis(mQueue, trafficClass, customer, slots, free);
+            Option<Refusal> refusal =
+                    mAdmission.judge(trafficClass, waitMillis, run.leftMillis(nowMillis));
+            if (refusal.isDefined()) {
+                return refusal;
+            }
+            if (mQueue.sizeOf(customer) >= run.policy().maxQueuedRequests()) {
+                return Option.some(queueFull(waitMillis));
+            }
+            long costMillis = mAdmission.meanMillis(trafficClass);
+            mQueue.add(trafficClass, customer, run.policy().weight(), costMillis, run);
+            return Option.none();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    private static int slotsFor(RequestRun run, int slots) {
+        boolean bulk = run.order().trafficClass() == TrafficClass.BULK;
+        return bulk ? Math.max(1, slots * run.policy().bulkSharePercent() / PERCENT) : slots;
+    }
+
+    private static Refusal queueFull(long waitMillis) {
+        return Refusal.later(
+                RefusalCode.OVER_LIMIT, "too many requests of this customer wait", waitMillis);
+    }
+
+    /** Takes the next request that can start, its slot held. */
+    Option<RequestRun> poll() {
+        mLock.lock();
+        try {
+            return mQueue.poll(this::canStart);
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    private boolean canStart(RequestRun run) {
+        Option<SlotHold> hold =
+                mLedger.take(mService, run.order().trafficClass(), run.policy().bulkSharePercent());
+        hold.forEach(run::setHold);
+        return hold.isDefined();
+    }
+
+    void remove(RequestRun run) {
+        mLock.lock();
+        try {
+            mQueue.remove(run.order().trafficClass(), run.order().customer(), run);
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    List<RequestRun> drain() {
+        mLock.lock();
+        try {
+            return mQueue.drain();
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    void served(TrafficClass trafficClass, long serviceMillis) {
+        mLock.lock();
+        try {
+            mAdmission.served(trafficClass, serviceMillis);
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    long meanMillis(TrafficClass trafficClass) {
+        mLock.lock();
+        try {
+            return mAdmission.meanMillis(trafficClass);
+        } finally {
+            mLock.unlock();
+        }
+    }
+
+    ServiceLoad load() {
+        return mLedger.load(mService, size());
+    }
+
+    private int size() {
+        mLock.lock();
+        try {
+            return mQueue.size();
+        } finally {
+            mLock.unlock();
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/placement/FakeWorkers.java
@@ -0,0 +1,126 @@
+package org.hyssoprouter.daemon.placement;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TaskId;
+import org.hyssoprouter.transport.LeaseRenewal;
+import org.hyssoprouter.transport.StartOrder;
+import org.hyssoprouter.transport.TaskReport;
+import org.hyssoprouter.transport.WorkerClient;
+import org.hyssoprouter.transport.WorkerStatus;
+
+/** Workers in memory, addressed by name; they keep the rules of docs/PORTS.md. */
+final class FakeWorkers implements WorkerClient {
+    final Map<String, FakeWorker> mWorkers = new TreeMap<>();
+    long mNowMillis;
+
+    /** Returns how many attempts of a task run, and fails on overlap within one worker. */
+    synchronized long running(TaskId task) {
+        return mWorkers.values().stream()
+                .flatMap(worker -> worker.mTasks.values().stream())
+                .filter(r -> r.task().equals(task) && !r.hasEnded())
+                .count();
+    }
+
+    synchronized FakeWorker worker(String name) {
+        return mWorkers.computeIfAbsent(name, n -> new FakeWorker());
+    }
+
+    synchronized void advance(long millis) {
+        mNowMillis += millis;
+        mWorkers.values().forEach(FakeWorker::lapse);
+    }
+
+    synchronized void report(String name, TaskId task, int attempt, TaskReport.State state) {
+        FakeWorker worker = worker(name);
+        worker.mTasks.put(task + "#" + attempt, reportOf(task, attempt, state));
+    }
+
+    @Override
+    public synchronized CompletableFuture<Either<CallError, WorkerStatus>> renew(
+            String address, LeaseRenewal renewal) {
+        FakeWorker worker = worker(address);
+        if (worker.mSilent) {
+            return done(Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "silent")));
+        }
+        if (renewal.epoch() < worker.mEpoch) {
+            return done(Either.left(CallError.notRun(CallError.Kind.REFUSED, "epoch")));
+        }
+        worker.mEpoch = renewal.epoch();
+        worker.mLeaseUntilMillis = mNowMillis + renewal.leaseMillis();
+        renewal.acknowledged().forEach(a -> worker.mTasks.remove(a.task() + "#" + a.attempt()));
+        List<TaskReport> tasks = new ArrayList<>(worker.mTasks.values());
+        return done(Either.right(new WorkerStatus(address, mNowMillis, tasks)));
+    }
+
+    @Override
+    public synchronized CompletableFuture<Either<CallError, TaskReport>> start(
+            String address, StartOrder order) {
+        FakeWorker worker = worker(address);
+        if (worker.mSilent) {
+            return done(Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "silent")));
+        }
+        boolean refused =
+                order.epoch() < worker.mEpoch
+                        || mNowMillis > order.notAfterMillis()
+                        || mNowMillis >= worker.mLeaseUntilMillis;
+        if (refused) {
+            return done(Either.left(CallError.notRun(CallError.Kind.REFUSED, "late")));
+        }
+        String key = order.task() + "#" + order.attempt();
+        worker.mTasks.putIfAbsent(
+                key, reportOf(order.task(), order.attempt(), TaskReport.State.RUNNING));
+        if (worker.mLosesStarts) {
+            return done(Either.left(CallError.mayHaveRun(CallError.Kind.BROKEN, "lost")));
+        }
+        return done(Either.right(worker.mTasks.get(key)));
+    }
+
+    @Override
+    public synchronized CompletableFuture<Either<CallError, TaskReport>> stop(
+            String address, String shard, long epoch, TaskId task, int attempt, StopMode mode) {
+        FakeWorker worker = worker(address);
+        if (worker.mSilent) {
+            return done(Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "silent")));
+        }
+        TaskReport stopped = reportOf(task, attempt, TaskReport.State.STOPPED);
+        worker.mTasks.put(task + "#" + attempt, stopped);
+        return done(Either.right(stopped));
+    }
+
+    private static TaskReport reportOf(TaskId task, int attempt, TaskReport.State state) {
+        return new TaskReport(task, attempt, state, Room.NONE, "");
+    }
+
+    private static <T> CompletableFuture<T> done(T value) {
+        return CompletableFuture.completedFuture(value);
+    }
+
+    /** One worker and its ordered faults. */
+    final class FakeWorker {
+        final Map<String, TaskReport> mTasks = new TreeMap<>();
+        long mEpoch;
+        long mLeaseUntilMillis = Long.MAX_VALUE;
+        boolean mSilent;
+        boolean mLosesStarts;
+
+        void lapse() {
+            if (mNowMillis >= mLeaseUntilMillis) {
+                mTasks.replaceAll(
+                        (key, r) ->
+                                r.hasEnded()
+                                        ? r
+                                        : reportOf(
+                                                r.task(),
+                                                r.attempt(),
+                                                TaskReport.State.LEASE_LAPSED));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/placement/ShardSchedulerTest.java
@@ -0,0 +1,282 @@
+package org.hyssoprouter.daemon.placement;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.time.Clock;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.config.CustomerPolicy;
+import org.hyssoprouter.internal.config.EffectiveConfig;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.ownership.ShardContext;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.lib.HostState;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.JobState;
+import org.hyssoprouter.lib.JobView;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TaskId;
+import org.hyssoprouter.lib.TaskState;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.lib.WorkKind;
+import org.hyssoprouter.transport.HostView;
+import org.hyssoprouter.transport.TaskReport;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class ShardSchedulerTest {
+    private static final Room CORE = new Room(1_000, 1 << 20, 0);
+    private static final TaskId TASK = new TaskId("j", 0);
+
+    private final ScheduledExecutorService mTimer = Executors.newScheduledThreadPool(1);
+    private final FakeWorkers mWorkers = new FakeWorkers();
+    private final List<ShardEvent> mJournal = new ArrayList<>();
+    private final List<HostInfo> mHosts = new ArrayList<>();
+    private long mRevision = 1;
+    private boolean mMayAct = true;
+    private boolean mTableOut;
+
+    @AfterEach
+    void stopTimer() {
+        mTimer.shutdownNow();
+    }
+
+    @Test
+    void startsAJobOnlyOnceItsAcceptanceIsDurable() throws Exception {
+        ShardScheduler scheduler = open(1);
+        mTableOut = true;
+        Either<Refusal, JobView> refused = scheduler.submit(job(1, CORE)).get();
+        assertEquals(RefusalCode.TABLE_UNAVAILABLE, refused.getLeft().code());
+        ticks(scheduler, 5);
+        assertEquals(0, mWorkers.running(TASK));
+        mTableOut = false;
+        assertTrue(scheduler.submit(job(1, CORE)).get().isRight());
+        assertTrue(scheduler.submit(job(1, CORE)).get().isRight());
+        Refusal conflict = scheduler.submit(job(2, CORE)).get().getLeft();
+        assertEquals(RefusalCode.CONFLICT, conflict.code());
+        awaitState(scheduler, TaskState.RUNNING);
+    }
+
+    @Test
+    void refusesWhatCanNeverRun() throws Exception {
+        ShardScheduler scheduler = open(1);
+        Room huge = new Room(5_000, 1, 0);
+        assertEquals(RefusalCode.CANNOT_RUN, scheduler.submit(job(1, huge)).get().getLeft().code());
+        Refusal bad = scheduler.submit(job(0, CORE)).get().getLeft();
+        assertEquals("taskCount", bad.field());
+        assertTrue(mJournal.isEmpty());
+    }
+
+    @Test
+    void silentWorkersTasksMoveOnlyAfterTheirLeaseLapsed() throws Exception {
+        ShardScheduler scheduler = open(1);
+        scheduler.submit(job(1, CORE)).get();
+        awaitState(scheduler, TaskState.RUNNING);
+        String first = workerOf(scheduler);
+        mWorkers.worker(first).mSilent = true;
+        long lapsedMillis = mWorkers.worker(first).mLeaseUntilMillis;
+        while (workerOf(scheduler).equals(first)) {
+            assertTrue(mWorkers.running(TASK) <= 1);
+            ticks(scheduler, 1);
+        }
+        awaitState(scheduler, TaskState.RUNNING);
+        assertTrue(mWorkers.mNowMillis >= lapsedMillis);
+        assertEquals(1, mWorkers.running(TASK));
+    }
+
+    @Test
+    void takeoverPlacesNothingBeforeTheInventoryIsComplete() throws Exception {
+        ShardScheduler before = open(1);
+        before.submit(job(1, CORE)).get();
+        awaitState(before, TaskState.RUNNING);
+        String worker = workerOf(before);
+        // The placement was never journaled, and its worker does not answer the new owner yet.
+        mJournal.removeIf(event -> event instanceof ShardEvent.TaskPlaced);
+        mWorkers.worker(worker).mSilent = true;
+        ShardScheduler after = open(2);
+        ticks(after, 20);
+        assertFalse(after.isSettled());
+        assertEquals(1, mWorkers.running(TASK));
+        mWorkers.worker(worker).mSilent = false;
+        ticks(after, 10);
+        assertTrue(after.isSettled() && workerOf(after).equals(worker));
+        assertEquals(1, mWorkers.running(TASK));
+        assertEquals(mJournal.size(), after.snapshotEvents().size());
+    }
+
+    @Test
+    void startWithLostReplyIsSettledAtItsWorker() throws Exception {
+        ShardScheduler scheduler = open(1);
+        mWorkers.worker("w0").mLosesStarts = true;
+        mWorkers.worker("w1").mLosesStarts = true;
+        scheduler.submit(job(1, CORE)).get();
+        awaitState(scheduler, TaskState.RUNNING);
+        assertEquals(1, scheduler.view("j").get().tasks().get(0).attempt());
+    }
+
+    @Test
+    void leavingWorkersTasksAreStoppedBeforeTheyMove() throws Exception {
+        ShardScheduler scheduler = open(1);
+        scheduler.submit(job(1, CORE)).get();
+        awaitState(scheduler, TaskState.RUNNING);
+        String first = workerOf(scheduler);
+        mHosts.replaceAll(h -> h.worker().equals(first) ? host(first, HostState.LEAVING) : h);
+        mRevision++;
+        await().until(
+                        () -> {
+                            ticks(scheduler, 1);
+                            return !workerOf(scheduler).equals(first);
+                        });
+        awaitState(scheduler, TaskState.RUNNING);
+        assertEquals(1, mWorkers.running(TASK));
+    }
+
+    @Test
+    void cancelStopsWhatRunsAndEndsTheJob() throws Exception {
+        ShardScheduler scheduler = open(1);
+        scheduler.submit(job(3, CORE)).get();
+        awaitState(scheduler, TaskState.RUNNING);
+        assertTrue(scheduler.cancel("j").get().isRight());
+        await().until(
+                        () -> {
+                            ticks(scheduler, 1);
+                            return scheduler.view("j").get().state() == JobState.CANCELLED;
+                        });
+        assertEquals(0, mWorkers.running(TASK));
+        assertTrue(scheduler.quiesce().get());
+    }
+
+    @Test
+    void taskOfABatchThatFailsIsTriedAgainThenFailsTheJob() throws Exception {
+        ShardScheduler scheduler = open(1);
+        scheduler.submit(job(1, CORE)).get();
+        for (int attempt = 1; attempt <= 2; attempt++) {
+            awaitState(scheduler, TaskState.RUNNING);
+            mWorkers.report(workerOf(scheduler), TASK, attempt, TaskReport.State.FAILED);
+            ticks(scheduler, 6);
+        }
+        assertEquals(JobState.FAILED, scheduler.view("j").get().state());
+    }
+
+    @Test
+    void withoutTheRightToActNothingIsSent() throws Exception {
+        ShardScheduler scheduler = open(1);
+        mMayAct = false;
+        scheduler.submit(job(1, CORE)).get();
+        ticks(scheduler, 5);
+        assertEquals(0, mWorkers.running(TASK));
+        mMayAct = true;
+        awaitState(scheduler, TaskState.RUNNING);
+    }
+
+    private ShardScheduler open(long epoch) {
+        if (mHosts.isEmpty()) {
+            mHosts.add(host("w0", HostState.LIVE));
+            mHosts.add(host("w1", HostState.LIVE));
+        }
+        ShardContext context = new ShardContext("s", "south", epoch, this::append, () -> mMayAct);
+        ShardScheduler scheduler =
+                new ShardScheduler(
+                        context,
+                        List.copyOf(mJournal),
+                        mWorkers,
+                        hostView(),
+                        () -> Option.some(config()),
+                        Clock.systemUTC(),
+                        () -> mWorkers.mNowMillis,
+                        mTimer);
+        mRevision++;
+        ticks(scheduler, 3);
+        return scheduler;
+    }
+
+    private CompletableFuture<Either<TableError, Boolean>> append(
+            List<ShardEvent> events, long withinMillis) {
+        if (mTableOut) {
+            return CompletableFuture.completedFuture(Either.left(TableError.unavailable("out")));
+        }
+        mJournal.addAll(events);
+        return CompletableFuture.completedFuture(Either.right(true));
+    }
+
+    private void ticks(ShardScheduler scheduler, int count) {
+        for (int i = 0; i < count; i++) {
+            mWorkers.advance(200);
+            scheduler.tick();
+        }
+    }
+
+    private void awaitState(ShardScheduler scheduler, TaskState state) {
+        await().until(
+                        () -> {
+                            ticks(scheduler, 1);
+                            return scheduler.view("j").get().tasks().get(0).state() == state;
+                        });
+    }
+
+    private static String workerOf(ShardScheduler scheduler) {
+        return scheduler.view("j").get().tasks().get(0).worker();
+    }
+
+    private static JobSpec job(int tasks, Room room) {
+        return new JobSpec(
+                "j", "c", WorkKind.BATCH, TrafficClass.NORMAL, tasks, room, 0, 2, null, "");
+    }
+
+    private static HostInfo host(String name, HostState state) {
+        return new HostInfo(
+                name, "south", "s", "r", name, state, new Room(4_000, 1 << 30, 0), List.of());
+    }
+
+    private HostView hostView() {
+        return new HostView() {
+            @Override
+            public List<HostInfo> hostsOf(String shard) {
+                return List.copyOf(mHosts);
+            }
+
+            @Override
+            public List<HostInfo> hosts() {
+                return List.copyOf(mHosts);
+            }
+
+            @Override
+            public long revision() {
+                return mRevision;
+            }
+        };
+    }
+
+    private static EffectiveConfig config() {
+        Room quota = new Room(1L << 40, 1L << 50, 100);
+        CustomerPolicy policy =
+                new CustomerPolicy("c", "south", 1, quota, 10, 10, 50, 10, 1_000, 1_000);
+        return new EffectiveConfig() {
+            @Override
+            public long version() {
+                return 1;
+            }
+
+            @Override
+            public Option<CustomerPolicy> customer(String name) {
+                return name.equals("c") ? Option.some(policy) : Option.none();
+            }
+
+            @Override
+            public List<String> customers() {
+                return List.of("c");
+            }
+        };
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/request/RequestDeskTest.java
@@ -0,0 +1,148 @@
+package org.hyssoprouter.daemon.request;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import io.vavr.control.Option;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.hyssoprouter.daemon.request.DeskFixture.Sent;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.lib.HostState;
+import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.transport.RequestOrder;
+import org.hyssoprouter.transport.RequestReply;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class RequestDeskTest {
+    private static final long LONG_MILLIS = 20_000;
+
+    private final DeskFixture mFixture = new DeskFixture();
+
+    @AfterEach
+    void stop() {
+        mFixture.mTimer.shutdownNow();
+    }
+
+    @Test
+    void sendsNoMoreThanTheSlotsOfTheExecutor() throws Exception {
+        RequestDesk desk = mFixture.open(List.of());
+        CompletableFuture<RequestReply> first = desk.handle(order(null));
+        var unused1 = desk.handle(order(null));
+        CompletableFuture<RequestReply> third = desk.handle(order(null));
+        await().until(() -> mFixture.sentCount() == DeskFixture.SLOTS);
+        next().answer("one");
+        assertEquals("one", text(first));
+        next();
+        next().answer("three");
+        assertEquals("three", text(third));
+    }
+
+    @Test
+    void claimsBeforeTheSendAndRepeatsTheStoredAnswer() throws Exception {
+        RequestDesk desk = mFixture.open(List.of());
+        CompletableFuture<RequestReply> first = desk.handle(order("k"));
+        Sent sent = next();
+        assertEquals(1, mFixture.events().size());
+        assertEquals(RefusalCode.IN_PROGRESS, code(desk.handle(order("k"))));
+        sent.answer("done");
+        assertEquals("done", text(first));
+        assertEquals("done", text(desk.handle(order("k"))));
+        assertEquals(0, mFixture.sentCount());
+    }
+
+    @Test
+    void claimWithoutOutcomeMayHaveRunAfterRecovery() throws Exception {
+        RequestDesk desk = mFixture.open(List.of());
+        var unused2 = desk.handle(order("k"));
+        next();
+        RequestDesk next = mFixture.open(mFixture.events());
+        RequestReply reply = get(next.handle(order("k")));
+        assertEquals(Verdict.MAY_HAVE_RUN, reply.verdict());
+        assertEquals(0, mFixture.sentCount());
+    }
+
+    @Test
+    void refusesAClaimWhileTheTableIsOut() throws Exception {
+        RequestDesk desk = mFixture.open(List.of());
+        mFixture.mTableError = Option.some(TableError.unavailable("out"));
+        RequestReply reply = get(desk.handle(order("k")));
+        assertEquals(Verdict.NOT_RUN, reply.verdict());
+        assertEquals(RefusalCode.TABLE_UNAVAILABLE, assertNotNullRefusal(reply));
+        mFixture.mTableError = Option.none();
+        CompletableFuture<RequestReply> again = desk.handle(order("k"));
+        next().answer("done");
+        assertEquals("done", text(again));
+    }
+
+    @Test
+    void unknownOutcomeKeepsItsSlotUntilTheExecutorSaysLess() throws Exception {
+        RequestDesk desk = mFixture.open(List.of());
+        CompletableFuture<RequestReply> first = desk.handle(order(null));
+        Sent sent = next();
+        mFixture.mSlotsInUse.set(DeskFixture.SLOTS);
+        sent.fail(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "silent"));
+        assertEquals(Verdict.MAY_HAVE_RUN, get(first).verdict());
+        var unused3 = desk.handle(order(null));
+        var unused4 = desk.handle(order(null));
+        next();
+        assertEquals(0, mFixture.sentCount());
+        mFixture.mSlotsInUse.set(0);
+        assertNotNull(next());
+    }
+
+    @Test
+    void leavingHostGetsNothingNew() throws Exception {
+        mFixture.mHostState = HostState.LEAVING;
+        RequestDesk desk = mFixture.open(List.of());
+        RequestReply reply = get(desk.handle(mFixture.order(null, "body", 300)));
+        assertEquals(Verdict.NOT_RUN, reply.verdict());
+        assertEquals(0, mFixture.sentCount());
+    }
+
+    @Test
+    void quiesceWaitsForRequestsInFlightAndRefusesOthers() throws Exception {
+        RequestDesk desk = mFixture.open(List.of());
+        CompletableFuture<RequestReply> running = desk.handle(order(null));
+        Sent sent = next();
+        CompletableFuture<Boolean> quiet = desk.quiesce();
+        assertEquals(RefusalCode.NO_OWNER, code(desk.handle(order(null))));
+        assertFalse(quiet.isDone());
+        sent.answer("done");
+        assertEquals("done", text(running));
+        quiet.get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private RequestOrder order(@Nullable String key) {
+        return mFixture.order(key, "body", LONG_MILLIS);
+    }
+
+    private Sent next() {
+        return await().until(mFixture::nextSent, sent -> sent != null);
+    }
+
+    private static RefusalCode code(CompletableFuture<RequestReply> reply) throws Exception {
+        return assertNotNullRefusal(get(reply));
+    }
+
+    private static RefusalCode assertNotNullRefusal(RequestReply reply) {
+        assertNotNull(reply.refusal());
+        return reply.refusal().code();
+    }
+
+    private static String text(CompletableFuture<RequestReply> reply) throws Exception {
+        return new String(get(reply).body(), UTF_8);
+    }
+
+    private static RequestReply get(CompletableFuture<RequestReply> reply) throws Exception {
+        return reply.get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/Inventory.java
@@ -0,0 +1,140 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.HashSet;
+import java.util.Set;
+import org.hyssoprouter.internal.journal.ShardEvent.TaskPlaced;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+import org.hyssoprouter.transport.TaskReport;
+import org.hyssoprouter.transport.WorkerClient.StopMode;
+import org.hyssoprouter.transport.WorkerStatus;
+
+/** Compares what a worker reports with what the book expects of it. */
+final class Inventory {
+    private final JobBook mBook;
+    private final JobStore mStore;
+    private final Fleet mFleet;
+    private final StopOrders mStops;
+
+    Inventory(JobBook book, JobStore store, Fleet fleet, StopOrders stops) {
+        mBook = book;
+        mStore = store;
+        mFleet = fleet;
+        mStops = stops;
+    }
+
+    void reconcile(WorkerStatus status, long nowMillis, long wallMillis) {
+        Set<AttemptId> reported = new HashSet<>();
+        for (TaskReport report : status.tasks()) {
+            reported.add(idOf(report));
+            if (report.hasEnded()) {
+                ended(status.worker(), report, nowMillis, wallMillis);
+            } else {
+                running(status.worker(), report, nowMillis);
+            }
+        }
+        for (AttemptId attempt : mFleet.attemptsOn(status.worker())) {
+            if (!reported.contains(attempt)) {
+                absent(status, attempt, nowMillis, wallMillis);
+            }
+        }
+    }
+
+    void lapse(String worker, long nowMillis, long wallMillis) {
+        for (AttemptId attempt : mFleet.attemptsOn(worker)) {
+            mBook.end(
+                    attempt,
+                    TaskReport.State.LEASE_LAPSED,
+                    "worker " + worker + " was silent until its lease lapsed",
+                    nowMillis,
+                    wallMillis);
+            forget(worker, attempt);
+        }
+    }
+
+    private void running(String worker, TaskReport report, long nowMillis) {
+        AttemptId attempt = idOf(report);
+        TaskEntry task = mStore.task(report.task());
+        if (task != null && task.isLive() && isCurrent(task, worker, attempt)) {
+            mBook.started(attempt);
+            return;
+        }
+        if (task != null && report.attempt() > task.mAttempt) {
+            adopt(worker, task, report, nowMillis);
+            return;
+        }
+        // Nobody waits for this attempt; it keeps its room until it is known to have stopped.
+        mFleet.force(worker, attempt, report.usage());
+        mStops.add(attempt, worker, StopMode.KILL);
+    }
+
+    /**
+     * Takes over an attempt that an earlier owner placed but could not journal any more. That owner
+     * settled the attempt before it, else it would not have placed this one.
+     */
+    private void adopt(String worker, TaskEntry task, TaskReport report, long nowMillis) {
+        JobEntry job = mStore.job(report.task().job());
+        if (job == null) {
+            return;
+        }
+        mStops.remove(task.attemptId());
+        Room room = job.mSpec.room();
+        mBook.record(new TaskPlaced(report.task(), report.attempt(), worker, room), nowMillis);
+        mBook.started(idOf(report));
+        if (job.isEnding()) {
+            mStops.add(idOf(report), worker, StopMode.KILL);
+        }
+    }
+
+    private void ended(String worker, TaskReport report, long nowMillis, long wallMillis) {
+        TaskEntry task = mStore.task(report.task());
+        if (task != null && task.isLive() && isElsewhere(task, worker, report)) {
+            forget(worker, idOf(report));
+            return;
+        }
+        mBook.end(
+                idOf(report),
+                report.state(),
+                report.usage(),
+                report.message(),
+                nowMillis,
+                wallMillis);
+        forget(worker, idOf(report));
+    }
+
+    /** Settles an attempt that the worker does not have: it ended, or can never start. */
+    private void absent(WorkerStatus status, AttemptId attempt, long nowMillis, long wallMillis) {
+        TaskEntry task = mStore.task(attempt.task());
+        boolean current = task != null && isCurrent(task, status.worker(), attempt);
+        if (current && task != null && status.workerMillis() <= task.mNotAfterMillis) {
+            // The start may still be on its way.
+            return;
+        }
+        if (current) {
+            mBook.end(
+                    attempt,
+                    TaskReport.State.LEASE_LAPSED,
+                    "worker " + status.worker() + " does not have it",
+                    nowMillis,
+                    wallMillis);
+        }
+        forget(status.worker(), attempt);
+    }
+
+    private void forget(String worker, AttemptId attempt) {
+        mFleet.release(worker, attempt);
+        mStops.remove(attempt);
+    }
+
+    private static boolean isCurrent(TaskEntry task, String worker, AttemptId attempt) {
+        return task.mWorker.equals(worker) && task.attemptId().equals(attempt);
+    }
+
+    private static boolean isElsewhere(TaskEntry task, String worker, TaskReport report) {
+        return task.mAttempt == report.attempt() && !task.mWorker.equals(worker);
+    }
+
+    private static AttemptId idOf(TaskReport report) {
+        return new AttemptId(report.task(), report.attempt());
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobStore.java
@@ -0,0 +1,240 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.journal.ShardEvent.JobAccepted;
+import org.hyssoprouter.internal.journal.ShardEvent.JobCancelled;
+import org.hyssoprouter.internal.journal.ShardEvent.JobEnded;
+import org.hyssoprouter.internal.journal.ShardEvent.TaskEnded;
+import org.hyssoprouter.internal.journal.ShardEvent.TaskPlaced;
+import org.hyssoprouter.internal.journal.ShardEvent.WorkerDrained;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TaskId;
+import org.hyssoprouter.lib.TaskState;
+import org.hyssoprouter.lib.WorkKind;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+import org.hyssoprouter.transport.TaskReport;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Durable state of a shard's jobs, changed only by applying events. Applying an event again that is
+ * already part of the state changes nothing, because a snapshot may overlap the journal.
+ */
+final class JobStore {
+    private static final int MAX_ENDED_JOBS = 2_000;
+
+    private final Map<String, JobEntry> mJobs = new LinkedHashMap<>();
+    private final Deque<JobEntry> mEnded = new ArrayDeque<>();
+    private final TreeSet<String> mDrained = new TreeSet<>();
+    private final JobQueue mQueue = new JobQueue();
+    private final Fleet mFleet;
+    private long mNextNumber;
+
+    JobStore(Fleet fleet) {
+        mFleet = fleet;
+    }
+
+    Collection<JobEntry> jobs() {
+        return mJobs.values();
+    }
+
+    JobQueue queue() {
+        return mQueue;
+    }
+
+    Set<String> drained() {
+        return mDrained;
+    }
+
+    @Nullable JobEntry job(String id) {
+        return mJobs.get(id);
+    }
+
+    @Nullable TaskEntry task(TaskId id) {
+        JobEntry job = mJobs.get(id.job());
+        if (job == null || id.index() < 0 || id.index() >= job.mTasks.length) {
+            return null;
+        }
+        return job.mTasks[id.index()];
+    }
+
+    /** Applies an event; those of other parts of the shard are ignored. */
+    void apply(ShardEvent event, long nowMillis) {
+        if (event instanceof JobAccepted accepted) {
+            accept(accepted);
+        } else if (event instanceof JobCancelled cancelled) {
+            cancel(cancelled);
+        } else if (event instanceof JobEnded ended) {
+            endJob(ended);
+        } else if (event instanceof TaskPlaced placed) {
+            placeTask(placed);
+        } else if (event instanceof TaskEnded ended) {
+            endTask(ended, nowMillis);
+        } else if (event instanceof WorkerDrained drained) {
+            drain(drained);
+        }
+    }
+
+    private void accept(JobAccepted event) {
+        String id = event.spec().id();
+        if (mJobs.containsKey(id)) {
+            return;
+        }
+        JobEntry job = new JobEntry(event.spec(), event.wallMillis(), mNextNumber++);
+        mJobs.put(id, job);
+        mQueue.update(job);
+    }
+
+    private void cancel(JobCancelled event) {
+        JobEntry job = mJobs.get(event.job());
+        if (job == null || job.isEnding()) {
+            return;
+        }
+        job.mCancelled = true;
+        job.mReason = "cancelled by an operator";
+        stopLive(job);
+    }
+
+    private void stopLive(JobEntry job) {
+        for (int index : List.copyOf(job.mLive)) {
+            job.setState(job.mTasks[index], TaskState.STOPPING);
+        }
+        mQueue.update(job);
+    }
+
+    private void endJob(JobEnded event) {
+        JobEntry job = mJobs.get(event.job());
+        if (job == null || job.mState.isFinal()) {
+            return;
+        }
+        job.mState = event.state();
+        job.mReason = event.reason();
+        job.mEndedWallMillis = event.wallMillis();
+        mQueue.update(job);
+        mEnded.add(job);
+        if (mEnded.size() > MAX_ENDED_JOBS) {
+            mJobs.remove(mEnded.remove().mSpec.id());
+        }
+    }
+
+    private void placeTask(TaskPlaced event) {
+        JobEntry job = mJobs.get(event.task().job());
+        TaskEntry task = task(event.task());
+        if (job == null || task == null || event.attempt() <= task.mAttempt) {
+            return;
+        }
+        if (task.isLive()) {
+            free(job, task);
+        }
+        task.mAttempt = event.attempt();
+        task.mWorker = event.worker();
+        task.mHeld = event.room();
+        task.mReason = "";
+        task.mNotAfterMillis = 0;
+        mFleet.force(task.mWorker, task.attemptId(), task.mHeld);
+        job.mSpread.add(task.mWorker, mFleet.rackOf(task.mWorker));
+        job.setState(task, job.isEnding() ? TaskState.STOPPING : TaskState.STARTING);
+        mQueue.update(job);
+    }
+
+    private void endTask(TaskEnded event, long nowMillis) {
+        JobEntry job = mJobs.get(event.task().job());
+        TaskEntry task = task(event.task());
+        if (job == null || task == null || event.attempt() <= task.mEndedAttempt) {
+            return;
+        }
+        if (event.attempt() < task.mAttempt) {
+            return;
+        }
+        if (task.isLive()) {
+            free(job, task);
+        }
+        task.mAttempt = event.attempt();
+        task.mEndedAttempt = event.attempt();
+        task.mReason = event.message();
+        task.mLastEnd = job.isEnding() ? TaskReport.State.STOPPED : event.state();
+        job.setState(task, stateAfter(job, task, event.state(), nowMillis));
+        if (task.mState == TaskState.BACKING_OFF) {
+            mQueue.addBackOff(job, task);
+        }
+        if (task.mState == TaskState.FAILED && job.mFailure.isEmpty()) {
+            job.mFailure = failureOf(task);
+            stopLive(job);
+        }
+        mQueue.update(job);
+    }
+
+    private static TaskState stateAfter(
+            JobEntry job, TaskEntry task, TaskReport.State state, long nowMillis) {
+        boolean succeeded = state == TaskReport.State.SUCCEEDED;
+        if (succeeded && job.mSpec.kind() != WorkKind.SERVICE) {
+            task.mLastEnd = state;
+            return TaskState.SUCCEEDED;
+        }
+        if (job.isEnding()) {
+            return TaskState.CANCELLED;
+        }
+        if (state == TaskReport.State.FAILED) {
+            task.mFailures++;
+            if (task.mFailures >= job.mSpec.maxAttempts()) {
+                return TaskState.FAILED;
+            }
+        }
+        if (state == TaskReport.State.FAILED || succeeded) {
+            task.mReadyMillis = nowMillis + BackOff.delayMillis(task.mFailures);
+            return TaskState.BACKING_OFF;
+        }
+        return TaskState.WAITING;
+    }
+
+    private static String failureOf(TaskEntry task) {
+        return "task "
+                + task.mId.index()
+                + " failed "
+                + task.mFailures
+                + " times, last: "
+                + task.mReason;
+    }
+
+    private void free(JobEntry job, TaskEntry task) {
+        AttemptId attempt = task.attemptId();
+        mFleet.release(task.mWorker, attempt);
+        job.mSpread.remove(task.mWorker, mFleet.rackOf(task.mWorker));
+        task.mHeld = Room.NONE;
+    }
+
+    private void drain(WorkerDrained event) {
+        if (event.drained()) {
+            mDrained.add(event.worker());
+        } else {
+            mDrained.remove(event.worker());
+        }
+    }
+
+    /** Returns a short list of events that restores this state. */
+    List<ShardEvent> snapshot() {
+        List<ShardEvent> events = new ArrayList<>();
+        mDrained.forEach(worker -> events.add(new WorkerDrained(worker, true)));
+        for (JobEntry job : mJobs.values()) {
+            events.add(new JobAccepted(job.mSpec, job.mAcceptedWallMillis));
+            for (TaskEntry task : job.mTasks) {
+                TaskSnapshot.append(task, events);
+            }
+            if (job.mCancelled) {
+                events.add(new JobCancelled(job.mSpec.id()));
+            }
+        }
+        for (JobEntry job : mEnded) {
+            events.add(new JobEnded(job.mSpec.id(), job.mState, job.mReason, job.mEndedWallMillis));
+        }
+        return events;
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobViews.java
@@ -0,0 +1,71 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssoprouter.lib.JobState;
+import org.hyssoprouter.lib.JobView;
+import org.hyssoprouter.lib.JobView.TaskView;
+
+/** Makes what operators see of a job. */
+final class JobViews {
+    private JobViews() {}
+
+    static JobView full(JobEntry job, String shard, long wallMillis, String note) {
+        List<TaskView> tasks = new ArrayList<>(job.mTasks.length);
+        for (TaskEntry task : job.mTasks) {
+            tasks.add(taskView(job, task));
+        }
+        return view(job, shard, wallMillis, note, tasks);
+    }
+
+    static JobView brief(JobEntry job, String shard, long wallMillis) {
+        return view(job, shard, wallMillis, "", List.of());
+    }
+
+    private static JobView view(
+            JobEntry job, String shard, long wallMillis, String note, List<TaskView> tasks) {
+        return new JobView(
+                job.mSpec,
+                shard,
+                stateOf(job),
+                reasonOf(job, note),
+                job.mAcceptedWallMillis,
+                waitedMillis(job, wallMillis),
+                tasks);
+    }
+
+    private static JobState stateOf(JobEntry job) {
+        if (job.mState.isFinal()) {
+            return job.mState;
+        }
+        boolean started = job.mPending < job.mTasks.length;
+        return started ? JobState.RUNNING : JobState.PENDING;
+    }
+
+    private static String reasonOf(JobEntry job, String note) {
+        if (job.mState.isFinal() || job.isEnding()) {
+            return job.mFailure.isEmpty() ? job.mReason : job.mFailure;
+        }
+        if (job.mWaiting.isEmpty()) {
+            return "";
+        }
+        return note.isEmpty() ? job.mReason : note;
+    }
+
+    /** Returns the time waited, or -1 if the first start was under an earlier owner. */
+    private static long waitedMillis(JobEntry job, long wallMillis) {
+        if (job.mFirstStartWallMillis > 0) {
+            return Math.max(0, job.mFirstStartWallMillis - job.mAcceptedWallMillis);
+        }
+        if (job.mPending < job.mTasks.length) {
+            return -1;
+        }
+        long until = job.mState.isFinal() ? job.mEndedWallMillis : wallMillis;
+        return Math.max(0, until - job.mAcceptedWallMillis);
+    }
+
+    private static TaskView taskView(JobEntry job, TaskEntry task) {
+        return new TaskView(
+                task.mId.index(), job.shownState(task), task.mAttempt, task.mWorker, task.mReason);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/PackPolicy.java
@@ -0,0 +1,52 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Best fit: each task goes to the worker that it leaves with the least room over, judged by the
+ * resource of which most would be left. Workers with accelerators come last for tasks without.
+ *
+ * @since 0.1
+ */
+public final class PackPolicy implements PlacementPolicy {
+    private static final int SAMPLE = 16;
+
+    /** Creates the policy. */
+    public PackPolicy() {}
+
+    @Override
+    public List<Assignment> place(PlacementRequest request, Fleet fleet) {
+        List<Assignment> placed = new ArrayList<>();
+        for (AttemptId attempt : request.attempts()) {
+            WorkerFree best = best(request.room(), fleet.index().tightest(request.room(), SAMPLE));
+            if (best == null || !fleet.hold(best.worker(), attempt, request.room())) {
+                break;
+            }
+            placed.add(new Assignment(attempt, best.worker(), request.room()));
+        }
+        return placed;
+    }
+
+    private static @Nullable WorkerFree best(Room room, List<WorkerFree> sample) {
+        WorkerFree best = null;
+        double least = Double.MAX_VALUE;
+        for (WorkerFree worker : sample) {
+            double left = largestLeft(worker.free().minus(room), worker.capacity());
+            if (left < least) {
+                least = left;
+                best = worker;
+            }
+        }
+        return best;
+    }
+
+    private static double largestLeft(Room left, Room capacity) {
+        double cpu = left.cpuMillis() / (double) Math.max(1, capacity.cpuMillis());
+        double memory = left.memoryBytes() / (double) Math.max(1, capacity.memoryBytes());
+        return Math.max(cpu, memory);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/SpreadPolicy.java
@@ -0,0 +1,102 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.NavigableSet;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Spreads the tasks of a job: each goes to the rack with the fewest of them, there to the worker
+ * with the fewest, and among equals to the one with the most room.
+ *
+ * @since 0.1
+ */
+public final class SpreadPolicy implements PlacementPolicy {
+    private static final int SAMPLE = 16;
+
+    /** Creates the policy. */
+    public SpreadPolicy() {}
+
+    @Override
+    public List<Assignment> place(PlacementRequest request, Fleet fleet) {
+        List<Assignment> placed = new ArrayList<>();
+        TaskSpread added = new TaskSpread();
+        for (AttemptId attempt : request.attempts()) {
+            WorkerFree best = choose(attempt, request, added, fleet.index());
+            if (best == null || !fleet.hold(best.worker(), attempt, request.room())) {
+                break;
+            }
+            added.add(best.worker(), best.rack());
+            placed.add(new Assignment(attempt, best.worker(), request.room()));
+        }
+        return placed;
+    }
+
+    private static @Nullable WorkerFree choose(
+            AttemptId attempt, PlacementRequest request, TaskSpread added, WorkerIndex index) {
+        Counter counter = new Counter(request.spread(), added);
+        List<String> racks = index.rackNames();
+        WorkerFree best = null;
+        int seen = 0;
+        for (int i = 0; i < racks.size() && seen < SAMPLE; i++) {
+            // Each task starts at another rack, so that a sample of the racks favours none.
+            int at = Math.floorMod(attempt.task().hashCode() + i, racks.size());
+            WorkerFree worker = counter.leastUsed(index.rack(racks.get(at)), request.room());
+            if (worker == null) {
+                continue;
+            }
+            seen++;
+            if (best == null || counter.compare(worker, best) < 0) {
+                best = worker;
+            }
+        }
+        return best;
+    }
+
+    /** Compares workers by the tasks of the job that they and their racks have. */
+    private static final class Counter {
+        private final TaskSpread mBefore;
+        private final TaskSpread mAdded;
+
+        Counter(TaskSpread before, TaskSpread added) {
+            mBefore = before;
+            mAdded = added;
+        }
+
+        int compare(WorkerFree a, WorkerFree b) {
+            int byRack = Integer.compare(onRack(a), onRack(b));
+            if (byRack != 0) {
+                return byRack;
+            }
+            int byWorker = Integer.compare(onWorker(a), onWorker(b));
+            if (byWorker != 0) {
+                return byWorker;
+            }
+            return Long.compare(b.free().cpuMillis(), a.free().cpuMillis());
+        }
+
+        @Nullable WorkerFree leastUsed(NavigableSet<WorkerFree> rack, Room room) {
+            WorkerFree best = null;
+            int probes = 0;
+            for (WorkerFree worker : rack.descendingSet()) {
+                if (probes++ >= SAMPLE) {
+                    break;
+                }
+                if (room.fitsIn(worker.free()) && (best == null || compare(worker, best) < 0)) {
+                    best = worker;
+                }
+            }
+            return best != null ? best : WorkerIndex.roomiest(rack, room);
+        }
+
+        private int onRack(WorkerFree worker) {
+            return mBefore.onRack(worker.rack()) + mAdded.onRack(worker.rack());
+        }
+
+        private int onWorker(WorkerFree worker) {
+            return mBefore.onWorker(worker.worker()) + mAdded.onWorker(worker.worker());
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/WorkerIndex.java
@@ -0,0 +1,193 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableSet;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import org.hyssoprouter.lib.Room;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Workers that may receive work, ordered by free room, so that a choice looks at a bounded number
+ * of them. Not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class WorkerIndex {
+    private static final Comparator<WorkerFree> BY_CPU =
+            Comparator.<WorkerFree>comparingLong(w -> w.free().cpuMillis())
+                    .thenComparing(WorkerFree::worker);
+    private static final Comparator<WorkerFree> BY_MEMORY =
+            Comparator.<WorkerFree>comparingLong(w -> w.free().memoryBytes())
+                    .thenComparing(WorkerFree::worker);
+    private static final int MAX_PROBES = 64;
+
+    private final Map<String, WorkerFree> mWorkers = new HashMap<>();
+    private final TreeMap<String, NavigableSet<WorkerFree>> mRacks = new TreeMap<>();
+    private @Nullable List<String> mRackNames;
+    private final Order mPlain = new Order();
+    private final Order mAccelerated = new Order();
+    private Room mTotalFree = Room.NONE;
+
+    /** Creates an empty index. */
+    public WorkerIndex() {}
+
+    /** Adds a worker or changes its free room. */
+    public void put(WorkerFree worker) {
+        remove(worker.worker());
+        mWorkers.put(worker.worker(), worker);
+        orderOf(worker).add(worker);
+        mRacks.computeIfAbsent(worker.rack(), this::newRack).add(worker);
+        mTotalFree = mTotalFree.plus(worker.free());
+    }
+
+    /** Removes a worker if it is there. */
+    public void remove(String name) {
+        WorkerFree before = mWorkers.remove(name);
+        if (before == null) {
+            return;
+        }
+        orderOf(before).remove(before);
+        mTotalFree = mTotalFree.minus(before.free());
+        NavigableSet<WorkerFree> rack = mRacks.get(before.rack());
+        if (rack == null) {
+            return;
+        }
+        rack.remove(before);
+        if (rack.isEmpty()) {
+            mRacks.remove(before.rack());
+            mRackNames = null;
+        }
+    }
+
+    private NavigableSet<WorkerFree> newRack(String name) {
+        mRackNames = null;
+        return new TreeSet<>(BY_CPU);
+    }
+
+    /** Returns the free room of all workers together. */
+    public Room totalFree() {
+        return mTotalFree;
+    }
+
+    /** Returns the free room of the worker that has the most processor time free. */
+    public Room largestFree() {
+        WorkerFree plain = mPlain.largest();
+        WorkerFree accelerated = mAccelerated.largest();
+        if (plain == null) {
+            return accelerated == null ? Room.NONE : accelerated.free();
+        }
+        if (accelerated == null || BY_CPU.compare(plain, accelerated) >= 0) {
+            return plain.free();
+        }
+        return accelerated.free();
+    }
+
+    /** Returns the names of the racks that have workers, in order. */
+    public List<String> rackNames() {
+        if (mRackNames == null) {
+            mRackNames = List.copyOf(mRacks.keySet());
+        }
+        return mRackNames;
+    }
+
+    /** Returns the workers of a rack, the one with the least processor time free first. */
+    public NavigableSet<WorkerFree> rack(String name) {
+        return mRacks.getOrDefault(name, Collections.emptyNavigableSet());
+    }
+
+    /**
+     * Returns workers that fit {@code demand}, the tightest in its scarcest resource first. Workers
+     * with accelerators are returned only if the demand needs them or no other fits.
+     *
+     * @param limit most workers to return
+     */
+    public List<WorkerFree> tightest(Room demand, int limit) {
+        if (demand.accelerators() > 0) {
+            return mAccelerated.tightest(demand, isMemoryScarce(demand), limit);
+        }
+        List<WorkerFree> plain = mPlain.tightest(demand, isMemoryScarce(demand), limit);
+        if (!plain.isEmpty()) {
+            return plain;
+        }
+        return mAccelerated.tightest(demand, isMemoryScarce(demand), limit);
+    }
+
+    /** Returns a fitting worker of a rack that has the most processor time free, or null. */
+    public static @Nullable WorkerFree roomiest(NavigableSet<WorkerFree> rack, Room demand) {
+        Iterator<WorkerFree> descending = rack.descendingIterator();
+        for (int i = 0; i < MAX_PROBES && descending.hasNext(); i++) {
+            WorkerFree worker = descending.next();
+            if (demand.fitsIn(worker.free())) {
+                return worker;
+            }
+        }
+        return null;
+    }
+
+    private boolean isMemoryScarce(Room demand) {
+        double cpuShare = share(demand.cpuMillis(), mTotalFree.cpuMillis());
+        double memoryShare = share(demand.memoryBytes(), mTotalFree.memoryBytes());
+        return memoryShare > cpuShare;
+    }
+
+    private static double share(long part, long whole) {
+        return part / (double) Math.max(1, whole);
+    }
+
+    private Order orderOf(WorkerFree worker) {
+        return worker.capacity().accelerators() > 0 ? mAccelerated : mPlain;
+    }
+
+    /** The same workers in the order of each resource. */
+    private static final class Order {
+        private final TreeSet<WorkerFree> mByCpu = new TreeSet<>(BY_CPU);
+        private final TreeSet<WorkerFree> mByMemory = new TreeSet<>(BY_MEMORY);
+
+        void add(WorkerFree worker) {
+            mByCpu.add(worker);
+            mByMemory.add(worker);
+        }
+
+        void remove(WorkerFree worker) {
+            mByCpu.remove(worker);
+            mByMemory.remove(worker);
+        }
+
+        @Nullable WorkerFree largest() {
+            return mByCpu.isEmpty() ? null : mByCpu.last();
+        }
+
+        List<WorkerFree> tightest(Room demand, boolean byMemory, int limit) {
+            TreeSet<WorkerFree> order = byMemory ? mByMemory : mByCpu;
+            WorkerFree from = new WorkerFree("", "", demand, demand);
+            List<WorkerFree> found = new ArrayList<>();
+            probe(order.tailSet(from, true).iterator(), demand, limit, found);
+            if (found.isEmpty()) {
+                // The tight ones lack another resource; the roomiest in that one may still fit.
+                TreeSet<WorkerFree> other = byMemory ? mByCpu : mByMemory;
+                probe(other.descendingIterator(), demand, limit, found);
+            }
+            if (found.isEmpty()) {
+                probe(order.descendingIterator(), demand, limit, found);
+            }
+            return found;
+        }
+
+        private static void probe(
+                Iterator<WorkerFree> workers, Room demand, int limit, List<WorkerFree> found) {
+            for (int i = 0; i < MAX_PROBES && found.size() < limit && workers.hasNext(); i++) {
+                WorkerFree worker = workers.next();
+                if (demand.fitsIn(worker.free())) {
+                    found.add(worker);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/request/ClassQueue.java
@@ -0,0 +1,122 @@
+package org.hyssoprouter.internal.request;
+
+import io.vavr.control.Option;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Predicate;
+
+/** Waiting items of one class, with deficit round robin between customers. */
+final class ClassQueue<T> {
+    private static final long QUANTUM_MILLIS = 100;
+    private static final long MAX_COST_MILLIS = 10 * QUANTUM_MILLIS;
+
+    private final Map<String, CustomerQueue<T>> mCustomers = new HashMap<>();
+    private final ArrayDeque<CustomerQueue<T>> mActive = new ArrayDeque<>();
+    private int mSize;
+
+    /** Number of polls since this class was last served while it had something to offer. */
+    int mPassedOver;
+
+    void add(String customer, int weight, long costMillis, T item) {
+        CustomerQueue<T> queue =
+                mCustomers.computeIfAbsent(
+                        customer,
+                        name -> {
+                            CustomerQueue<T> created = new CustomerQueue<>(name);
+                            mActive.add(created);
+                            return created;
+                        });
+        queue.mWeight = Math.max(1, weight);
+        long cost = Math.max(1, Math.min(MAX_COST_MILLIS, costMillis));
+        queue.mEntries.add(new Entry<>(item, cost));
+        mSize++;
+    }
+
+    Option<T> poll(Predicate<T> canStart) {
+        int blocked = 0;
+        while (blocked < mActive.size()) {
+            CustomerQueue<T> queue = mActive.element();
+            Entry<T> entry = queue.mEntries.element();
+            if (queue.mDeficitMillis < entry.costMillis()) {
+                queue.mDeficitMillis += QUANTUM_MILLIS * queue.mWeight;
+                rotate();
+                blocked = 0;
+                continue;
+            }
+            if (canStart.test(entry.item())) {
+                take(queue, entry);
+                return Option.some(entry.item());
+            }
+            rotate();
+            blocked++;
+        }
+        return Option.none();
+    }
+
+    private void rotate() {
+        mActive.add(mActive.remove());
+    }
+
+    private void take(CustomerQueue<T> queue, Entry<T> entry) {
+        queue.mEntries.remove();
+        queue.mDeficitMillis -= entry.costMillis();
+        mSize--;
+        dropIfEmpty(queue);
+    }
+
+    private void dropIfEmpty(CustomerQueue<T> queue) {
+        if (queue.mEntries.isEmpty()) {
+            // A customer with nothing waiting saves up no share for later.
+            mCustomers.remove(queue.mCustomer);
+            mActive.remove(queue);
+        }
+    }
+
+    boolean remove(String customer, T item) {
+        CustomerQueue<T> queue = mCustomers.get(customer);
+        if (queue == null || !queue.mEntries.removeIf(entry -> entry.item() == item)) {
+            return false;
+        }
+        mSize--;
+        dropIfEmpty(queue);
+        return true;
+    }
+
+    void drainTo(List<T> items) {
+        mActive.forEach(queue -> queue.mEntries.forEach(entry -> items.add(entry.item())));
+        mActive.clear();
+        mCustomers.clear();
+        mSize = 0;
+    }
+
+    int size() {
+        return mSize;
+    }
+
+    int sizeOf(String customer) {
+        CustomerQueue<T> queue = mCustomers.get(customer);
+        return queue == null ? 0 : queue.mEntries.size();
+    }
+
+    int ahead(String customer) {
+        int inTurns = (sizeOf(customer) + 1) * Math.max(1, mActive.size());
+        return Math.min(mSize, inTurns);
+    }
+
+    /** An item with its expected time in a slot. */
+    private record Entry<T>(T item, long costMillis) {}
+
+    /** Items of one customer, in order of arrival. */
+    private static final class CustomerQueue<T> {
+        private final String mCustomer;
+        private final ArrayDeque<Entry<T>> mEntries = new ArrayDeque<>();
+        private int mWeight = 1;
+        private long mDeficitMillis;
+
+        CustomerQueue(String customer) {
+            mCustomer = customer;
+        }
+    }
+}
