--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
@@ -1,5 +1,7 @@
 package org.hyssoprouter.bench;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -9,8 +11,12 @@
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
+import org.hyssoprouter.bench.history.History;
+import org.hyssoprouter.internal.config.ConfigDocument;
 import org.hyssoprouter.lib.ExecutorInfo;
 import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.JobView;
 import org.hyssoprouter.standin.executor.ExecutorHistory;
 import org.hyssoprouter.standin.platform.PlatformStats;
 import org.hyssoprouter.standin.worker.WorkerHistory;
@@ -60,6 +66,7 @@
         try {
             cell.startStandins();
             cell.startDaemons(plan);
+            cell.configure(plan);
             return cell;
         } catch (IOException | RuntimeException e) {
             cell.close();
@@ -126,6 +133,69 @@
                 .toList();
     }
 
+    /** Returns what callers, executors and workers saw, without any host that left. */
+    public History history(List<CallerAnswer> answers) {
+        return new History(answers, executorHistories(), workerHistories(), List.of());
+    }
+
+    /**
+     * Submits a job through any daemon.
+     *
+     * @throws IllegalStateException if it is not accepted in time
+     */
+    public void submit(JobSpec spec) {
+        await(
+                "acceptance of " + spec.id(),
+                START_TIMEOUT_MILLIS,
+                () -> mClient.submit(liveDaemonExcept(List.of()), spec).status() / 100 == 2);
+    }
+
+    /** Returns what any daemon says of a job, or none while no daemon can say it. */
+    public Option<JobView> job(String id) {
+        for (DaemonProcess daemon : mDaemons) {
+            CellClient.Reply reply = mClient.operator(daemon, "GET", "/v1/jobs/" + id, null);
+            if (reply.status() == 200) {
+                return Option.of(reply.read(JobView.class));
+            }
+        }
+        return Option.none();
+    }
+
+    /**
+     * Returns the daemon that owns a shard, by what any daemon says.
+     *
+     * @throws IllegalStateException if none is named
+     */
+    public DaemonProcess ownerOf(String shard) {
+        for (DaemonProcess daemon : mDaemons) {
+            JsonNode rows = mClient.operator(daemon, "GET", "/v1/shards", null).json();
+            for (JsonNode row : rows) {
+                if (row.path("shard").asText().equals(shard)) {
+                    return daemon(row.path("owner").asText());
+                }
+            }
+        }
+        throw new IllegalStateException("no daemon names an owner of " + shard);
+    }
+
+    /**
+     * Waits until a shard has an owner that is alive and not {@code former}.
+     *
+     * @return the new owner
+     */
+    public DaemonProcess awaitOwnerOtherThan(DaemonProcess former, String shard) {
+        await("new owner of " + shard, START_TIMEOUT_MILLIS, () -> hasOwnerExcept(former, shard));
+        return ownerOf(shard);
+    }
+
+    private boolean hasOwnerExcept(DaemonProcess former, String shard) {
+        try {
+            return ownerOf(shard) != former;
+        } catch (IllegalStateException e) {
+            return false;
+        }
+    }
+
     /** Returns all executors. */
     public List<ExecutorInfo> executors() {
         return mHosts.stream().flatMap(host -> host.executors().stream()).toList();
@@ -197,6 +267,26 @@
         }
     }
 
+    private void configure(CellPlan plan) {
+        List<String> regions =
+                plan.domains().stream().map(CellPlan.Domain::region).distinct().toList();
+        ConfigDocument document = CellConfig.initial(regions);
+        await(
+                "acceptance of the first configuration",
+                START_TIMEOUT_MILLIS,
+                () -> putConfig(mDaemons.get(0), document).status() / 100 == 2);
+        for (DaemonProcess daemon : mDaemons) {
+            await(
+                    daemon.name() + " ready",
+                    START_TIMEOUT_MILLIS,
+                    () -> mClient.isOk(daemon.httpAddress(), "/ready"));
+        }
+    }
+
+    private CellClient.Reply putConfig(DaemonProcess daemon, ConfigDocument document) {
+        return mClient.operator(daemon, "PUT", "/v1/config", document);
+    }
+
     private void endProcesses() {
         mDaemons.forEach(daemon -> daemon.process().close());
         mStandins.forEach(ChildProcess::close);
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/CellClient.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/CellClient.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.bench;
 
+import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
 import java.io.IOException;
@@ -29,7 +30,7 @@
 
     private static final MediaType JSON = MediaType.get("application/json");
     private static final MediaType BYTES = MediaType.get("application/octet-stream");
-    private static final long GRACE_MILLIS = 5_000;
+    private static final long GRACE_MILLIS = 2_000;
 
     private final OkHttpClient mClient =
             new OkHttpClient.Builder()
@@ -178,6 +179,22 @@
             }
         }
 
+        /**
+         * Returns the content as a record; fields that it does not know are left out.
+         *
+         * @throws IllegalStateException if the content is not of that type
+         */
+        public <T> T read(Class<T> type) {
+            try {
+                return MessageCodec.json()
+                        .readerFor(type)
+                        .without(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
+                        .readValue(body);
+            } catch (IOException e) {
+                throw new IllegalStateException("not a " + type.getSimpleName() + ": " + this, e);
+            }
+        }
+
         /** Returns one line for people. */
         @Override
         public String toString() {
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/CellConfig.java
@@ -0,0 +1,37 @@
+package org.hyssoprouter.bench;
+
+import java.util.List;
+import org.hyssoprouter.internal.config.ConfigDocument;
+import org.hyssoprouter.lib.Room;
+
+/** The configuration that every cell of the bench starts with. */
+final class CellConfig {
+    /** Customers of every cell; each has its home in the region of the same position. */
+    static final String FIRST_CUSTOMER = "starter";
+
+    static final String SECOND_CUSTOMER = "nightsky";
+
+    private static final int PLENTY = 100_000;
+
+    private CellConfig() {}
+
+    /** Returns the first version, with limits that a run does not reach. */
+    static ConfigDocument initial(List<String> regions) {
+        ConfigDocument.Defaults defaults =
+                new ConfigDocument.Defaults(
+                        1,
+                        new Room(1_000_000, 4_000L << 30, 64),
+                        PLENTY,
+                        PLENTY,
+                        50,
+                        20,
+                        600_000,
+                        5_000);
+        List<ConfigDocument.Customer> customers =
+                List.of(
+                        new ConfigDocument.Customer(FIRST_CUSTOMER, regions.get(0)),
+                        new ConfigDocument.Customer(
+                                SECOND_CUSTOMER, regions.get(regions.size() - 1)));
+        return new ConfigDocument(0, "bench", 0, defaults, customers, List.of());
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Scenario.java
@@ -0,0 +1,143 @@
+package org.hyssoprouter.bench;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.Future;
+import java.util.function.IntFunction;
+import org.hyssoprouter.bench.history.History;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.JobView;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.lib.WorkKind;
+
+/**
+ * A cell under requests and jobs, with a record of what was seen.
+ *
+ * @since 0.1
+ */
+public final class Scenario implements AutoCloseable {
+    /** Room of each task; four of them fill a worker of {@link #quickPlan}. */
+    public static final Room TASK_ROOM = new Room(4_000, 8L << 30, 0);
+
+    private static final int MAX_SENDINGS = 60;
+    private static final long JOB_TIMEOUT_MILLIS = 60_000;
+
+    private final Cell mCell;
+    private final Callers mCallers;
+    private final int mThreads;
+    private final List<Future<List<CallerAnswer>>> mLoops = new ArrayList<>();
+    private final List<String> mJobs = new ArrayList<>();
+    private final List<History.Leave> mLeaves = new ArrayList<>();
+
+    private Scenario(Cell cell, long seed, int threads) {
+        mCell = cell;
+        mThreads = threads;
+        mCallers = new Callers(cell, seed, threads, MAX_SENDINGS);
+    }
+
+    /**
+     * Starts a cell without load.
+     *
+     * @param plan plan of the cell
+     * @param seed seed of the choice of entries
+     * @param threads callers at once
+     */
+    public static Scenario start(CellPlan plan, long seed, int threads) throws IOException {
+        return new Scenario(Cell.start(plan), seed, threads);
+    }
+
+    /** Returns a plan whose times are short, so that a fault is over within seconds. */
+    public static CellPlan quickPlan() {
+        return new CellPlan()
+                .setting("pollMillis", 200)
+                .setting("deadAfterMillis", 1_600)
+                .setting("confirmMillis", 700)
+                .setting("leaseMillis", 2_000)
+                .setting("notAfterMillis", 500)
+                .setting("balancerSeconds", 1)
+                .setting("drainSeconds", 15);
+    }
+
+    /** Returns the cell. */
+    public Cell cell() {
+        return mCell;
+    }
+
+    /** Returns the callers. */
+    public Callers callers() {
+        return mCallers;
+    }
+
+    /** Lets the callers send requests until {@link #finish()}. */
+    public void loop(IntFunction<CallerRequest> source) {
+        mLoops.addAll(mCallers.loop(mThreads, source));
+    }
+
+    /** Submits a batch job whose tasks take four to a worker. */
+    public void batch(String id, int taskCount, long runTimeMillis) {
+        mCell.submit(
+                new JobSpec(
+                        id,
+                        CellConfig.FIRST_CUSTOMER,
+                        WorkKind.BATCH,
+                        TrafficClass.NORMAL,
+                        taskCount,
+                        TASK_ROOM,
+                        runTimeMillis,
+                        100,
+                        null,
+                        ""));
+        mJobs.add(id);
+    }
+
+    /** Makes the host of a worker leave and notes the instant. */
+    public void leave(String worker) {
+        mCell.client().post(mCell.platformAddress(), "/hosts/" + worker + "/leave", "");
+        List<String> executors =
+                mCell.hosts().stream()
+                        .filter(host -> host.worker().equals(worker))
+                        .flatMap(host -> host.executors().stream())
+                        .map(executor -> executor.name())
+                        .toList();
+        mLeaves.add(new History.Leave(worker, executors, System.currentTimeMillis()));
+    }
+
+    /**
+     * Ends the load and waits until every request is settled and every job has ended.
+     *
+     * @return the last answer to each request of the loops
+     * @throws IllegalStateException if a job does not end
+     */
+    public List<CallerAnswer> finish() throws InterruptedException, ExecutionException {
+        mCallers.endLoops();
+        List<CallerAnswer> last = new ArrayList<>();
+        for (Future<List<CallerAnswer>> loop : mLoops) {
+            last.addAll(loop.get());
+        }
+        mLoops.clear();
+        for (String job : mJobs) {
+            Cell.await("end of " + job, JOB_TIMEOUT_MILLIS, () -> isFinal(job));
+        }
+        return last;
+    }
+
+    /** Returns what was seen so far. */
+    public History history() {
+        History history = mCell.history(mCallers.answers());
+        return new History(
+                history.answers(), history.executors(), history.workers(), List.copyOf(mLeaves));
+    }
+
+    @Override
+    public void close() {
+        mCallers.close();
+        mCell.close();
+    }
+
+    private boolean isFinal(String job) {
+        return mCell.job(job).map(JobView::state).exists(state -> state.isFinal());
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/AnswersSystemTest.java
@@ -0,0 +1,86 @@
+package org.hyssoprouter.bench;
+
+import static org.hyssoprouter.bench.SystemAssertions.assertPromises;
+
+import org.hyssoprouter.lib.ExecutorInfo;
+import org.hyssoprouter.lib.TrafficClass;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+@Tag("system")
+class AnswersSystemTest {
+    private static CellPlan plan() {
+        return Scenario.quickPlan()
+                .domain("south-a", "south", 2, 2)
+                .domain("south-b", "south", 2, 2);
+    }
+
+    @Test
+    void everyCallerGetsItsOwnWholeAnswer() throws Exception {
+        try (Scenario scenario = Scenario.start(plan(), 3, 16)) {
+            Cell cell = scenario.cell();
+            scenario.loop(AnswersSystemTest::sized);
+            Cell.pause(1_000);
+            for (ExecutorInfo executor : cell.executors()) {
+                cell.client().fault(executor.address(), "{'cutInAnswer':10}");
+            }
+            Cell.pause(1_000);
+            DaemonProcess frozen = cell.daemons().get(0);
+            frozen.process().freeze();
+            Cell.pause(800);
+            frozen.process().thaw();
+            cell.daemons().get(3).process().kill();
+            Cell.pause(3_000);
+            scenario.finish();
+            assertPromises(scenario.history(), 200, 0);
+        }
+    }
+
+    @Test
+    void whatIsSaidNotToHaveRunDidNotRun() throws Exception {
+        try (Scenario scenario = Scenario.start(plan(), 4, 12)) {
+            Cell cell = scenario.cell();
+            scenario.loop(AnswersSystemTest::sentOnce);
+            for (ExecutorInfo executor : cell.executors()) {
+                cell.client().fault(executor.address(), "{'cutBeforeRun':8,'cutAfterRun':8}");
+            }
+            Cell.pause(2_000);
+            cell.client().fault(cell.executors().get(0).address(), "{'silent':true}");
+            cell.client().fault(cell.executors().get(1).address(), "{'silenceOpen':true}");
+            Cell.pause(1_000);
+            cell.daemons().get(0).process().kill();
+            Cell.pause(2_500);
+            cell.client().fault(cell.executors().get(0).address(), "{'silent':false}");
+            cell.client().fault(cell.executors().get(2).address(), "{'delayMillis':900}");
+            Cell.pause(2_000);
+            scenario.finish();
+            assertPromises(scenario.history(), 100, 0);
+        }
+    }
+
+    /** Small and large answers, quick and slow ones, so that they overtake each other. */
+    private static CallerRequest sized(int index) {
+        CallerRequest request =
+                index % 3 == 0
+                        ? CallerRequest.atMostOnce(
+                                "own-" + index, CellConfig.FIRST_CUSTOMER, index % 7 * 20L)
+                        : CallerRequest.idempotent(
+                                "own-" + index, CellConfig.FIRST_CUSTOMER, index % 5 * 20L);
+        int sizeBytes = index % 4 == 0 ? 600_000 : index % 50;
+        return request.sized(sizeBytes, index % 8 == 0 ? 200_000 : 0);
+    }
+
+    /** Requests without an idempotency key, which must not be sent to a target twice. */
+    private static CallerRequest sentOnce(int index) {
+        return new CallerRequest(
+                "once-" + index,
+                CellConfig.FIRST_CUSTOMER,
+                TrafficClass.NORMAL,
+                700,
+                false,
+                null,
+                20,
+                0,
+                0);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/ConfigurationSystemTest.java
@@ -0,0 +1,130 @@
+package org.hyssoprouter.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.hyssoprouter.internal.config.ConfigDocument;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+@Tag("system")
+class ConfigurationSystemTest {
+    private static final int RACES = 8;
+    private static final long IN_FORCE_MILLIS = 20_000;
+
+    private static CellPlan plan() {
+        return Scenario.quickPlan().domain("south-a", "south", 4, 1);
+    }
+
+    @Test
+    void racingOperatorsGetOneWinnerEach() throws Exception {
+        ExecutorService operators = Executors.newFixedThreadPool(4);
+        try (Cell cell = Cell.start(plan())) {
+            for (int race = 0; race < RACES; race++) {
+                ConfigDocument base = read(cell, cell.daemons().get(0));
+                List<Future<CellClient.Reply>> puts = new ArrayList<>();
+                for (DaemonProcess daemon : cell.daemons()) {
+                    ConfigDocument edited = edit(base, daemon.name(), base.customers());
+                    puts.add(operators.submit(() -> put(cell, daemon, edited)));
+                }
+                int winners = 0;
+                for (Future<CellClient.Reply> put : puts) {
+                    int status = put.get().status();
+                    assertTrue(status / 100 == 2 || status == 409, "status " + status);
+                    winners += status / 100 == 2 ? 1 : 0;
+                }
+                assertEquals(1, winners, "winners of race " + race);
+                awaitVersion(cell, base.version() + 1);
+            }
+        } finally {
+            operators.shutdownNow();
+        }
+    }
+
+    @Test
+    void frozenHostDecidesNothingUnderOldVersion() throws Exception {
+        try (Cell cell = Cell.start(plan())) {
+            DaemonProcess frozen = cell.daemons().get(3);
+            DaemonProcess other = cell.daemons().get(0);
+            assertTrue(cell.client().send(frozen, request("before")).ran());
+            frozen.process().freeze();
+            ConfigDocument base = read(cell, other);
+            List<ConfigDocument.Customer> fewer = base.customers().subList(0, 1);
+            assertEquals(2, put(cell, other, edit(base, "removal", fewer)).status() / 100);
+            Cell.await(
+                    "the version in force on every live host",
+                    IN_FORCE_MILLIS,
+                    () -> isAccepted(cell, other));
+            frozen.process().thaw();
+            CallerAnswer answer = cell.client().send(frozen, request("after"));
+            assertFalse(answer.ran(), answer::toString);
+        }
+    }
+
+    @Test
+    void hostRestartedInOutageDoesNotServe() throws Exception {
+        try (Cell cell = Cell.start(plan())) {
+            DaemonProcess restarted = cell.daemons().get(3);
+            ConfigDocument base = read(cell, restarted);
+            put(cell, cell.daemons().get(0), edit(base, "raise", base.customers()));
+            awaitVersion(cell, base.version() + 1);
+            cell.client().fault(cell.platformAddress(), "{'outage':true}");
+            restarted.process().kill();
+            restarted.restart();
+            Cell.pause(3_000);
+            assertFalse(cell.client().isOk(restarted.httpAddress(), "/ready"));
+            cell.client().fault(cell.platformAddress(), "{'outage':false}");
+            awaitVersion(cell, base.version() + 1);
+            assertEquals(base.version() + 1, read(cell, restarted).version());
+        }
+    }
+
+    private static CallerRequest request(String key) {
+        return CallerRequest.idempotent(key, CellConfig.SECOND_CUSTOMER, 1);
+    }
+
+    private static ConfigDocument edit(
+            ConfigDocument base, String author, List<ConfigDocument.Customer> customers) {
+        return new ConfigDocument(
+                base.version(), author, 0, base.defaults(), customers, base.exceptions());
+    }
+
+    private static ConfigDocument read(Cell cell, DaemonProcess daemon) {
+        return cell.client().operator(daemon, "GET", "/v1/config", null).read(ConfigDocument.class);
+    }
+
+    private static CellClient.Reply put(Cell cell, DaemonProcess daemon, ConfigDocument document) {
+        return cell.client().operator(daemon, "PUT", "/v1/config", document);
+    }
+
+    private static boolean isAccepted(Cell cell, DaemonProcess daemon) {
+        return cell.client()
+                .operator(daemon, "GET", "/v1/config/status", null)
+                .json()
+                .path("accepted")
+                .asBoolean();
+    }
+
+    private static void awaitVersion(Cell cell, long version) {
+        for (DaemonProcess daemon : cell.daemons()) {
+            Cell.await(
+                    "version " + version + " on " + daemon.name(),
+                    IN_FORCE_MILLIS,
+                    () -> versionAt(cell, daemon) >= version);
+        }
+    }
+
+    private static long versionAt(Cell cell, DaemonProcess daemon) {
+        return cell.client()
+                .operator(daemon, "GET", "/v1/config", null)
+                .json()
+                .path("version")
+                .asLong();
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/SystemAssertions.java
@@ -0,0 +1,41 @@
+package org.hyssoprouter.bench;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.hyssoprouter.bench.history.History;
+import org.hyssoprouter.bench.history.HistoryChecker;
+import org.hyssoprouter.standin.worker.TaskEvent;
+
+/** What every system test asserts of its history. */
+final class SystemAssertions {
+    private SystemAssertions() {}
+
+    /** Fails on any breach, and on a history too short to show one. */
+    static void assertPromises(History history, long minRuns, long minStarts) {
+        System.out.println("operations in the history: " + history.operationCount());
+        assertEquals(List.of(), HistoryChecker.breaches(history));
+        long runs = history.executors().stream().mapToLong(e -> e.runs().size()).sum();
+        assertTrue(runs >= minRuns, () -> "only " + runs + " requests ran");
+        long starts =
+                history.workers().stream()
+                        .flatMap(worker -> worker.events().stream())
+                        .filter(event -> event.event() == TaskEvent.Kind.STARTED)
+                        .count();
+        assertTrue(starts >= minStarts, () -> "only " + starts + " attempts started");
+    }
+
+    /** Fails unless every request was answered in the end as having run. */
+    static void assertAllRan(List<CallerAnswer> last) {
+        List<CallerAnswer> others = last.stream().filter(answer -> !answer.ran()).toList();
+        assertEquals(List.of(), others);
+    }
+
+    /** Alternates between the two kinds of request. */
+    static CallerRequest mixed(int index) {
+        return index % 2 == 0
+                ? CallerRequest.idempotent("check-" + index, CellConfig.FIRST_CUSTOMER, 10)
+                : CallerRequest.atMostOnce("booking-" + index, CellConfig.FIRST_CUSTOMER, 10);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/UrgentSystemTest.java
@@ -0,0 +1,53 @@
+package org.hyssoprouter.bench;
+
+import static org.hyssoprouter.bench.SystemAssertions.assertPromises;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Future;
+import org.hyssoprouter.lib.TrafficClass;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+@Tag("system")
+class UrgentSystemTest {
+    private static final int CHECKS = 60;
+    private static final long CHECK_TIMEOUT_MILLIS = 1_500;
+
+    /** The seasonal work alone would keep every slot busy for longer than a check can wait. */
+    private static CallerRequest seasonal(int index) {
+        return CallerRequest.idempotent("season-" + index, CellConfig.SECOND_CUSTOMER, 2_000)
+                .in(TrafficClass.BULK, 30_000)
+                .sized(200_000, 100_000);
+    }
+
+    @Test
+    void quickChecksPassSeasonalWork() throws Exception {
+        CellPlan plan = Scenario.quickPlan().domain("south-a", "south", 2, 2).slots(4);
+        try (Scenario scenario = Scenario.start(plan, 8, 60);
+                Callers checkers = new Callers(scenario.cell(), 9, 4, 1)) {
+            scenario.loop(UrgentSystemTest::seasonal);
+            Cell.pause(2_500);
+            List<Future<CallerAnswer>> checks = new ArrayList<>();
+            for (int i = 0; i < CHECKS; i++) {
+                checks.add(checkers.send(check(i)));
+            }
+            List<CallerAnswer> missed = new ArrayList<>();
+            for (Future<CallerAnswer> check : checks) {
+                CallerAnswer answer = check.get();
+                if (!answer.ran()) {
+                    missed.add(answer);
+                }
+            }
+            assertEquals(List.of(), missed);
+            scenario.finish();
+            assertPromises(scenario.history(), CHECKS, 0);
+        }
+    }
+
+    private static CallerRequest check(int index) {
+        return CallerRequest.idempotent("moon-" + index, CellConfig.FIRST_CUSTOMER, 5)
+                .in(TrafficClass.URGENT, CHECK_TIMEOUT_MILLIS);
+    }
+}
