Add the HTTP API for callers and operators

Cause: the thin path needs a door. Input is read strictly: unknown and doubled fields, wrong types, bad headers, unknown customers and oversize bodies get a typed refusal that names field and expectation, NOT_RUN, and reach no service.

--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/FaultList.java
@@ -0,0 +1,16 @@
+package org.hyssoprouter.daemon.http;
+
+import java.util.List;
+import org.hyssoprouter.errors.Refusal;
+
+/** Joins several faults of one input into one refusal. */
+final class FaultList {
+    private FaultList() {}
+
+    /** Returns a refusal with the first fault's field and the messages of all. */
+    static Refusal joined(List<Refusal> faults) {
+        Refusal first = faults.get(0);
+        String message = String.join("; ", faults.stream().map(Refusal::message).toList());
+        return new Refusal(first.code(), first.verdict(), message, first.field(), 0);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/Gate.java
@@ -0,0 +1,31 @@
+package org.hyssoprouter.daemon.http;
+
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.config.EffectiveConfig;
+
+/** Conditions that must hold before a call has any effect. */
+final class Gate {
+    private static final long COME_BACK_MILLIS = 1_000;
+
+    private Gate() {}
+
+    /** Throws NOT_READY unless calls are served. */
+    static void requireServing(Readiness readiness) {
+        if (!readiness.isServing()) {
+            throw notReady("this daemon is starting or stopping; another one will answer");
+        }
+    }
+
+    /** Returns the configuration, or throws NOT_READY before the first was read. */
+    static EffectiveConfig requireConfig(ConfigView view) {
+        return view.current()
+                .getOrElseThrow(() -> notReady("this daemon has no current configuration yet"));
+    }
+
+    private static RefusalException notReady(String message) {
+        return new RefusalException(
+                Refusal.later(RefusalCode.NOT_READY, message, COME_BACK_MILLIS));
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/JsonBody.java
@@ -0,0 +1,105 @@
+package org.hyssoprouter.daemon.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadFeature;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonMappingException;
+import com.fasterxml.jackson.databind.MapperFeature;
+import com.fasterxml.jackson.databind.ObjectReader;
+import com.fasterxml.jackson.databind.exc.InvalidFormatException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import org.hyssoprouter.errors.Refusal;
+
+/** Reads and writes the JSON bodies of the API, strictly, with faults that name their field. */
+final class JsonBody {
+    private static final JsonMapper MAPPER =
+            JsonMapper.builder()
+                    .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+                    .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+                    .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+                    .enable(DeserializationFeature.FAIL_ON_NUMBERS_FOR_ENUMS)
+                    .disable(DeserializationFeature.ACCEPT_FLOAT_AS_INT)
+                    .disable(MapperFeature.ALLOW_COERCION_OF_SCALARS)
+                    .enable(MapperFeature.ACCEPT_CASE_INSENSITIVE_ENUMS)
+                    .build();
+
+    private JsonBody() {}
+
+    /**
+     * Reads a body.
+     *
+     * @throws RefusalException naming the field at fault and what was expected
+     */
+    static <T> T read(byte[] bytes, Class<T> type) {
+        ObjectReader reader = MAPPER.readerFor(type);
+        try {
+            T value = reader.readValue(bytes);
+            if (value == null) {
+                throw new RefusalException(Refusal.badField("body", "expected a JSON object"));
+            }
+            return value;
+        } catch (UnrecognizedPropertyException e) {
+            throw refused(path(e), "is not a known field");
+        } catch (InvalidFormatException e) {
+            throw refused(path(e), expectation(e.getTargetType()));
+        } catch (JsonMappingException e) {
+            throw refused(path(e), "has the wrong type, or is null where a value is required");
+        } catch (JsonProcessingException e) {
+            throw refused("body", "is not valid JSON, at " + place(e));
+        } catch (IOException e) {
+            throw refused("body", "cannot be read");
+        }
+    }
+
+    /** Writes a value. */
+    static byte[] write(Object value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("cannot write " + value.getClass().getName(), e);
+        }
+    }
+
+    private static RefusalException refused(String field, String expectation) {
+        return new RefusalException(Refusal.badField(field, expectation));
+    }
+
+    private static String place(JsonProcessingException e) {
+        if (e.getLocation() == null) {
+            return "an unknown place";
+        }
+        return "line " + e.getLocation().getLineNr() + " column " + e.getLocation().getColumnNr();
+    }
+
+    private static String path(JsonMappingException e) {
+        StringBuilder path = new StringBuilder();
+        for (JsonMappingException.Reference reference : e.getPath()) {
+            if (reference.getFieldName() == null) {
+                path.append('[').append(reference.getIndex()).append(']');
+                continue;
+            }
+            if (!path.isEmpty()) {
+                path.append('.');
+            }
+            path.append(reference.getFieldName());
+        }
+        return path.isEmpty() ? "body" : path.toString();
+    }
+
+    private static String expectation(Class<?> type) {
+        if (type.isEnum()) {
+            List<String> names =
+                    Arrays.stream(type.getEnumConstants()).map(Object::toString).toList();
+            return "expected one of " + String.join(", ", names).toLowerCase(Locale.ROOT);
+        }
+        if (type == int.class || type == long.class) {
+            return "expected a whole number";
+        }
+        return "expected a value of type " + type.getSimpleName().toLowerCase(Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/RequestHeaders.java
@@ -0,0 +1,127 @@
+package org.hyssoprouter.daemon.http;
+
+import io.jooby.Context;
+import io.jooby.Value;
+import java.util.Locale;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.internal.config.CustomerPolicy;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.transport.RequestOrder;
+import org.jspecify.annotations.Nullable;
+
+/** Reads a caller's request from its headers, path and body. */
+final class RequestHeaders {
+    static final String CUSTOMER = "Hyssop-Customer";
+    static final String CLASS = "Hyssop-Class";
+    static final String TIMEOUT = "Hyssop-Timeout-Millis";
+    static final String IDEMPOTENT = "Hyssop-Idempotent";
+    static final String KEY = "Idempotency-Key";
+    private static final String CONTENT_TYPE = "Content-Type";
+
+    private static final long MAX_TIMEOUT_MILLIS = 600_000;
+    private static final int MAX_KEY_LENGTH = 200;
+    private static final String SERVICE = "[A-Za-z0-9._-]{1,128}";
+
+    private RequestHeaders() {}
+
+    /**
+     * Returns the order that a call stands for.
+     *
+     * @param requestId id for the order
+     * @param policy policy of the customer that the call names
+     * @throws RefusalException naming the header at fault
+     */
+    static RequestOrder order(Context context, String requestId, CustomerPolicy policy) {
+        refuseForms(context);
+        String service = context.path("service").value();
+        if (!service.matches(SERVICE)) {
+            throw bad("service", "expected 1 to 128 letters, digits, '.', '_' or '-'");
+        }
+        return new RequestOrder(
+                requestId,
+                policy.customer(),
+                service,
+                trafficClass(context),
+                timeoutMillis(context, policy),
+                idempotent(context),
+                key(context),
+                context.body().bytes());
+    }
+
+    /** Returns a header's value, or null when it was not sent. */
+    static @Nullable String header(Context context, String name) {
+        Value value = context.header(name);
+        return value.isMissing() ? null : value.value();
+    }
+
+    // The server library takes bodies of these types apart, so they can't be passed on unchanged.
+    private static void refuseForms(Context context) {
+        String type = header(context, CONTENT_TYPE);
+        if (type == null) {
+            return;
+        }
+        String lower = type.toLowerCase(Locale.ROOT);
+        if (lower.startsWith("multipart/") || lower.startsWith("application/x-www-form")) {
+            throw bad(CONTENT_TYPE, "expected any type but that of a form");
+        }
+    }
+
+    private static TrafficClass trafficClass(Context context) {
+        String text = header(context, CLASS);
+        if (text == null) {
+            return TrafficClass.NORMAL;
+        }
+        for (TrafficClass candidate : TrafficClass.values()) {
+            if (candidate.name().equalsIgnoreCase(text)) {
+                return candidate;
+            }
+        }
+        throw bad(CLASS, "expected one of urgent, normal, bulk");
+    }
+
+    private static long timeoutMillis(Context context, CustomerPolicy policy) {
+        String text = header(context, TIMEOUT);
+        if (text == null) {
+            return policy.requestTimeoutMillis();
+        }
+        try {
+            long millis = Long.parseLong(text);
+            if (millis >= 1 && millis <= MAX_TIMEOUT_MILLIS) {
+                return millis;
+            }
+        } catch (NumberFormatException e) {
+            throw bad(TIMEOUT, timeoutExpectation());
+        }
+        throw bad(TIMEOUT, timeoutExpectation());
+    }
+
+    private static String timeoutExpectation() {
+        return "expected a whole number of milliseconds from 1 to " + MAX_TIMEOUT_MILLIS;
+    }
+
+    private static boolean idempotent(Context context) {
+        String text = header(context, IDEMPOTENT);
+        if (text == null || text.equalsIgnoreCase("false")) {
+            return false;
+        }
+        if (text.equalsIgnoreCase("true")) {
+            return true;
+        }
+        throw bad(IDEMPOTENT, "expected true or false");
+    }
+
+    private static @Nullable String key(Context context) {
+        String text = header(context, KEY);
+        if (text == null) {
+            return null;
+        }
+        if (text.isBlank() || text.length() > MAX_KEY_LENGTH) {
+            throw bad(KEY, "expected 1 to " + MAX_KEY_LENGTH + " characters");
+        }
+        return text;
+    }
+
+    private static RefusalException bad(String field, String expectation) {
+        return new RefusalException(Refusal.badField(field, expectation));
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/RequestRoutes.java
@@ -0,0 +1,69 @@
+package org.hyssoprouter.daemon.http;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.internal.config.CustomerPolicy;
+import org.hyssoprouter.internal.config.EffectiveConfig;
+import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.transport.RequestOrder;
+import org.hyssoprouter.transport.RequestReply;
+
+/** Routes of callers. */
+final class RequestRoutes {
+    private final ApiOptions mOptions;
+    private final ApiServices mServices;
+    private final AtomicLong mNextRequest = new AtomicLong();
+
+    RequestRoutes(ApiOptions options, ApiServices services) {
+        mOptions = options;
+        mServices = services;
+    }
+
+    void install(Jooby app) {
+        app.post("/v1/requests/{service}", new AsyncHandler(this::request));
+    }
+
+    private CompletableFuture<Context> request(Context context) {
+        Gate.requireServing(mServices.readiness());
+        RequestOrder order = RequestHeaders.order(context, nextRequestId(), policy(context));
+        long startNanos = System.nanoTime();
+        return mServices
+                .requests()
+                .route(order)
+                .thenApply(reply -> answer(context, order, reply, startNanos));
+    }
+
+    private Context answer(
+            Context context, RequestOrder order, RequestReply reply, long startNanos) {
+        mServices.observer().answered(order, reply, System.nanoTime() - startNanos);
+        return Answers.reply(context, reply);
+    }
+
+    private CustomerPolicy policy(Context context) {
+        String name = RequestHeaders.header(context, RequestHeaders.CUSTOMER);
+        if (name == null) {
+            throw new RefusalException(
+                    Refusal.badField(RequestHeaders.CUSTOMER, "expected the name of a customer"));
+        }
+        EffectiveConfig config = Gate.requireConfig(mServices.configView());
+        return config.customer(name)
+                .getOrElseThrow(() -> new RefusalException(unknownCustomer(name)));
+    }
+
+    private static Refusal unknownCustomer(String name) {
+        return new Refusal(
+                RefusalCode.NOT_FOUND,
+                Verdict.NOT_RUN,
+                RequestHeaders.CUSTOMER + ": there is no customer " + name,
+                RequestHeaders.CUSTOMER,
+                0);
+    }
+
+    private String nextRequestId() {
+        return mOptions.requestIdPrefix() + "-" + mNextRequest.incrementAndGet();
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/RequestService.java
@@ -0,0 +1,20 @@
+package org.hyssoprouter.daemon.http;
+
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.transport.RequestOrder;
+import org.hyssoprouter.transport.RequestReply;
+
+/**
+ * Answers callers' requests.
+ *
+ * @since 0.1
+ */
+@FunctionalInterface
+public interface RequestService {
+    /**
+     * Routes a request to an executor.
+     *
+     * @return the final reply; the future completes normally, failures are refusals
+     */
+    CompletableFuture<RequestReply> route(RequestOrder order);
+}
