Make the placement decisions whole

Learned sizes, quotas, turns between customers, gang reservation with backfill, preemption of bulk batch work, health of workers, and retries that avoid the worker of the failure. Stops are kept in the order in which they are due: before, each pass went over all of them, which a wave of cancels makes quadratic. A worker that gets its first task is renewed within a second; before, its end could stay unseen for four (the retry test failed on it once retries moved to another worker).

Ruled out: a cool-down of each worker after a failure, because one broken job would then slow every worker for all customers; failures count against a worker only when its peers run the same work.

Quotas are checked by each shard on its own; the sum over shards is not.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
@@ -12,10 +12,13 @@
 import org.hyssoprouter.daemon.placement.WorkerLinks.Renewal;
 import org.hyssoprouter.errors.Refusal;
 import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.config.CustomerPolicy;
+import org.hyssoprouter.internal.config.EffectiveConfig;
 import org.hyssoprouter.internal.journal.ShardEvent;
 import org.hyssoprouter.internal.ownership.ShardContext;
 import org.hyssoprouter.internal.placement.JobBook;
 import org.hyssoprouter.internal.placement.LeaseTiming;
+import org.hyssoprouter.internal.placement.QuotaView;
 import org.hyssoprouter.lib.HostInfo;
 import org.hyssoprouter.lib.JobSpec;
 import org.hyssoprouter.lib.JobView;
@@ -39,6 +42,7 @@
 
     private final ShardContext mContext;
     private final HostView mHosts;
+    private final ConfigView mConfig;
     private final ScheduledExecutorService mTimer;
     private final JobBook mBook;
     private final WorkerLinks mLinks;
@@ -93,6 +97,7 @@
             boolean settledBySilence) {
         mContext = context;
         mHosts = hosts;
+        mConfig = config;
         mTimer = timer;
         mBook = new JobBook(context.shard());
         LeaseTiming timing = LeaseTiming.standard();
@@ -238,17 +243,22 @@
     private void place() {
         boolean more = true;
         while (more && !mQuiesced && !mStopped && mContext.right().mayAct()) {
-            more = mDecisions.decide(this::placeStep);
+            Option<EffectiveConfig> config = mConfig.current();
+            more = mDecisions.decide(() -> placeStep(config));
         }
     }
 
-    private boolean placeStep() {
+    private boolean placeStep(Option<EffectiveConfig> config) {
         long now = mDecisions.nowMillis();
-        mLinks.review(now, mDecisions.wallMillis());
         mBook.sendStops(now);
-        if (!mLinks.isSettled()) {
+        if (!mLinks.isSettled() || config.isEmpty()) {
             return false;
         }
-        return mBook.place(now, mDecisions.wallMillis(), PLACEMENTS_PER_STEP);
+        EffectiveConfig inForce = config.get();
+        QuotaView quotas = name -> inForce.customer(name).map(CustomerPolicy::quota);
+        boolean more = mBook.place(now, mDecisions.wallMillis(), PLACEMENTS_PER_STEP, quotas);
+        // Stops that make room for urgent work go out at once.
+        mBook.sendStops(now);
+        return more;
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerCalls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerCalls.java
@@ -146,6 +146,8 @@
                         .filter(TaskReport::hasEnded)
                         .map(report -> new AttemptId(report.task(), report.attempt()))
                         .toList();
+        mLinks.reviewUse(link, now);
+        mLinks.reviewInventory(now);
         if (!ended.isEmpty()) {
             acknowledgeLater(worker, ended);
         }
@@ -194,6 +196,9 @@
         WorkerLink link = mLinks.get(start.worker());
         long now = mDecisions.nowMillis();
         long notAfter = link == null ? 0 : link.notAfterMillis(now);
+        if (link != null) {
+            link.used(now);
+        }
         if (!mBook.startSent(start.attempt(), notAfter, now, mDecisions.wallMillis())) {
             return Option.none();
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLink.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLink.java
@@ -76,6 +76,11 @@
         mNextRenewalMillis = Long.MIN_VALUE;
     }
 
+    /** Notes that a task is started, so that the worker is renewed as a used one. */
+    void used(long nowMillis) {
+        mNextRenewalMillis = Math.min(mNextRenewalMillis, nowMillis + mTiming.renewMillis());
+    }
+
     boolean isRenewalDue(long nowMillis) {
         return nowMillis >= mNextRenewalMillis && mLease.grantMillis(nowMillis) > 0;
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLinks.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLinks.java
@@ -79,7 +79,7 @@
         for (WorkerLink link : List.copyOf(mLinks.values())) {
             String worker = link.host().worker();
             boolean drained = mBook.isDrained(worker);
-            fleet.setUsable(worker, link.isUsable(drained, nowMillis));
+            reviewUse(link, nowMillis);
             if (link.lease().hasLapsed(nowMillis)) {
                 mBook.lapse(worker, nowMillis, wallMillis);
                 link.setSettled();
@@ -93,9 +93,21 @@
             }
         }
         lapseUnknownWorkers(nowMillis, wallMillis);
+        reviewInventory(nowMillis);
+    }
+
+    /** Notes when it has become known what ran on every worker at the takeover. */
+    void reviewInventory(long nowMillis) {
         mSettled = mSettled || isInventoryComplete(nowMillis);
     }
 
+    /** Decides whether a worker may receive new work. */
+    void reviewUse(WorkerLink link, long nowMillis) {
+        String worker = link.host().worker();
+        boolean usable = link.isUsable(mBook.isDrained(worker), nowMillis);
+        mBook.setUsable(worker, usable, nowMillis);
+    }
+
     /** Ends the attempts of workers that no list has named since the takeover. */
     private void lapseUnknownWorkers(long nowMillis, long wallMillis) {
         boolean provable = mSettledBySilence || mRevision > mRevisionAtTakeover;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/Fleet.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/Fleet.java
@@ -1,8 +1,11 @@
 package org.hyssoprouter.internal.placement;
 
+import java.util.Collections;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
 
@@ -16,6 +19,10 @@
     private final RoomLedger mLedger = new RoomLedger();
     private final WorkerIndex mIndex = new WorkerIndex();
     private final Map<String, Member> mMembers = new LinkedHashMap<>();
+    private final Set<String> mSingle = new HashSet<>();
+    private Set<String> mReserved = Set.of();
+    private boolean mReservedShown;
+    private Room mLargest = Room.NONE;
 
     /** Creates a fleet without workers. */
     public Fleet() {}
@@ -29,6 +36,7 @@
         }
         mMembers.put(worker, after);
         mLedger.setCapacity(worker, capacity);
+        findLargest();
         reindex(worker);
     }
 
@@ -36,6 +44,8 @@
     public void removeWorker(String worker) {
         mMembers.remove(worker);
         mLedger.setCapacity(worker, Room.NONE);
+        mSingle.remove(worker);
+        findLargest();
         mIndex.remove(worker);
     }
 
@@ -49,6 +59,41 @@
         reindex(worker);
     }
 
+    /** Says whether a worker may have only one attempt at a time. */
+    public void setSingle(String worker, boolean single) {
+        boolean changed = single ? mSingle.add(worker) : mSingle.remove(worker);
+        if (changed) {
+            reindex(worker);
+        }
+    }
+
+    /** Keeps workers out of the index for one job, until another set takes their place. */
+    public void reserve(Set<String> workers) {
+        Set<String> before = mReserved;
+        mReserved = Set.copyOf(workers);
+        before.forEach(this::reindex);
+        mReserved.forEach(this::reindex);
+    }
+
+    /** Shows the reserved workers in the index, or hides them again. */
+    public void showReserved(boolean shown) {
+        if (mReservedShown == shown) {
+            return;
+        }
+        mReservedShown = shown;
+        mReserved.forEach(this::reindex);
+    }
+
+    /** Returns the names of all workers. */
+    public Set<String> workers() {
+        return Collections.unmodifiableSet(mMembers.keySet());
+    }
+
+    /** Returns the capacity of the worker with the most processor time. */
+    public Room largestCapacity() {
+        return mLargest;
+    }
+
     /** Returns whether a worker may receive new work. */
     public boolean isUsable(String worker) {
         Member member = mMembers.get(worker);
@@ -57,7 +102,8 @@
 
     /** Holds room for a new attempt on a usable worker; returns whether it fitted. */
     public boolean hold(String worker, AttemptId attempt, Room room) {
-        if (!isUsable(worker) || !mLedger.hold(worker, attempt, room)) {
+        boolean full = mSingle.contains(worker) && mLedger.isUsed(worker);
+        if (full || !isUsable(worker) || !mLedger.hold(worker, attempt, room)) {
             return false;
         }
         reindex(worker);
@@ -124,7 +170,7 @@
         return count;
     }
 
-    private static long timesIn(Room room, Room capacity) {
+    static long timesIn(Room room, Room capacity) {
         long times = Long.MAX_VALUE / 1_000_000;
         if (room.cpuMillis() > 0) {
             times = Math.min(times, capacity.cpuMillis() / room.cpuMillis());
@@ -138,9 +184,20 @@
         return Math.max(0, times);
     }
 
+    private void findLargest() {
+        mLargest = Room.NONE;
+        for (Member member : mMembers.values()) {
+            if (member.capacity().cpuMillis() > mLargest.cpuMillis()) {
+                mLargest = member.capacity();
+            }
+        }
+    }
+
     private void reindex(String worker) {
         Member member = mMembers.get(worker);
-        if (member == null || !member.usable()) {
+        boolean hidden = !mReservedShown && mReserved.contains(worker);
+        boolean full = mSingle.contains(worker) && mLedger.isUsed(worker);
+        if (member == null || !member.usable() || hidden || full) {
             mIndex.remove(worker);
             return;
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/Inventory.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/Inventory.java
@@ -57,6 +57,7 @@
         TaskEntry task = mStore.task(report.task());
         if (task != null && task.isLive() && isCurrent(task, worker, attempt)) {
             mBook.started(attempt);
+            raise(task, report);
             return;
         }
         if (task != null && report.attempt() > task.mAttempt) {
@@ -68,6 +69,14 @@
         mStops.add(attempt, worker, StopMode.KILL);
     }
 
+    /** The worker is fuller than thought; nothing new is placed into what the task uses. */
+    private void raise(TaskEntry task, TaskReport report) {
+        JobEntry job = mStore.job(report.task().job());
+        if (job != null) {
+            mStore.raise(job, task, report.usage());
+        }
+    }
+
     /**
      * Takes over an attempt that an earlier owner placed but could not journal any more. That owner
      * settled the attempt before it, else it would not have placed this one.
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobBook.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobBook.java
@@ -29,11 +29,18 @@
     private final Fleet mFleet = new Fleet();
     private final JobStore mStore = new JobStore(mFleet);
     private final StopOrders mStops = new StopOrders();
-    private final Placer mPlacer = new Placer(mFleet);
+    private final WorkerHealth mHealth = new WorkerHealth();
+    private final Placer mPlacer = new Placer(mFleet, mStore.live(), mStore.sizes());
+    private final GangReservation mReservation = new GangReservation(mFleet, mStore);
+    private final Preemption mPreemption = new Preemption(mFleet, mStore.live());
+    private final PlacementPass mPass =
+            new PlacementPass(mFleet, mPlacer, mReservation, this::commit, this::blocked);
     private final Inventory mInventory = new Inventory(this, mStore, mFleet, mStops);
     private final String mShard;
     private List<ShardEvent> mEvents = new ArrayList<>();
     private List<PlacementAction> mActions = new ArrayList<>();
+    private long mNowMillis;
+    private long mWallMillis;
 
     /**
      * Creates an empty book.
@@ -88,27 +95,22 @@
      * Places waiting tasks.
      *
      * @param limit most tasks to place
+     * @param quotas quotas under the configuration in force
      * @return whether the limit was reached, so that there may be more to place
      */
-    public boolean place(long nowMillis, long wallMillis, int limit) {
-        for (JobQueue.BackOff ready : mStore.queue().takeReady(nowMillis)) {
+    public boolean place(long nowMillis, long wallMillis, int limit, QuotaView quotas) {
+        mNowMillis = nowMillis;
+        mWallMillis = wallMillis;
+        for (JobQueue.BackedOff ready : mStore.queue().takeReady(nowMillis)) {
             if (ready.task().mState == TaskState.BACKING_OFF) {
                 ready.job().setState(ready.task(), TaskState.WAITING);
                 mStore.queue().update(ready.job());
             }
         }
-        int left = limit;
-        for (JobEntry job : mStore.queue().first(Placer.LOOK_AHEAD)) {
-            left -= place(job, nowMillis, wallMillis, left);
-            if (left <= 0) {
-                return true;
-            }
-        }
-        return false;
+        return mPass.run(mStore.queue(), nowMillis, limit, quotas) >= limit;
     }
 
-    private int place(JobEntry job, long nowMillis, long wallMillis, int limit) {
-        List<Assignment> placed = mPlacer.place(job, limit);
+    private void commit(JobEntry job, List<Assignment> placed) {
         for (Assignment assignment : placed) {
             AttemptId attempt = assignment.attempt();
             record(
@@ -117,14 +119,25 @@
                             attempt.attempt(),
                             assignment.worker(),
                             assignment.room()),
-                    nowMillis);
+                    mNowMillis);
             job.mTasks[attempt.task().index()].mNotAfterMillis = TaskEntry.NOT_SENT;
             mActions.add(startOf(job.mSpec, assignment));
         }
-        if (!placed.isEmpty() && job.mFirstStartWallMillis == 0) {
-            job.mFirstStartWallMillis = wallMillis;
+        if (job.mFirstStartWallMillis == 0) {
+            job.mFirstStartWallMillis = mWallMillis;
+        }
+        job.mBlockedSinceMillis = 0;
+    }
+
+    private void blocked(JobEntry job, long nowMillis) {
+        if (!job.mWaitsForRoom) {
+            return;
+        }
+        Room room = mPlacer.sizeOf(job);
+        mReservation.blocked(job, room, nowMillis);
+        for (TaskEntry victim : mPreemption.victims(job, room, nowMillis)) {
+            move(victim, "gives way to urgent job " + job.mSpec.id());
         }
-        return placed.size();
     }
 
     private static PlacementAction startOf(JobSpec spec, Assignment assignment) {
@@ -192,10 +205,23 @@
             return;
         }
         record(new TaskEnded(attempt.task(), attempt.attempt(), state, usage, message), nowMillis);
+        if (state == TaskReport.State.FAILED || state == TaskReport.State.SUCCEEDED) {
+            boolean failed = state == TaskReport.State.FAILED;
+            mHealth.note(task.mWorker, job.mSpec.id(), failed, job.mSucceeded > 0, nowMillis);
+        }
         stopTasks(job);
         endIfOver(job, wallMillis);
     }
 
+    /**
+     * Says whether the lease and the host list let a worker receive work; its health is judged here
+     * as well.
+     */
+    public void setUsable(String worker, boolean usable, long nowMillis) {
+        mFleet.setSingle(worker, mHealth.isOnProbation(worker));
+        mFleet.setUsable(worker, usable && !mHealth.isOut(worker, nowMillis));
+    }
+
     /**
      * Compares a worker's inventory with this book: confirms, ends, takes over or stops attempts.
      */
@@ -212,18 +238,24 @@
     public void evacuate(String worker) {
         for (AttemptId attempt : mFleet.attemptsOn(worker)) {
             TaskEntry task = mStore.task(attempt.task());
-            JobEntry job = mStore.job(attempt.task().job());
-            if (task == null || job == null || !task.attemptId().equals(attempt)) {
-                continue;
-            }
-            if (task.mState == TaskState.STARTING || task.mState == TaskState.RUNNING) {
-                job.setState(task, TaskState.STOPPING);
-                task.mReason = "moves away from " + worker;
-                mStops.add(attempt, worker, StopMode.CHECKPOINT);
+            if (task != null && task.attemptId().equals(attempt)) {
+                move(task, "moves away from " + worker);
             }
         }
     }
 
+    /** Stops a live task with a checkpoint; it waits for another worker once it has stopped. */
+    private void move(TaskEntry task, String reason) {
+        JobEntry job = mStore.job(task.mId.job());
+        boolean movable = task.mState == TaskState.STARTING || task.mState == TaskState.RUNNING;
+        if (job == null || !movable) {
+            return;
+        }
+        job.setState(task, TaskState.STOPPING);
+        task.mReason = reason;
+        mStops.add(task.attemptId(), task.mWorker, StopMode.CHECKPOINT);
+    }
+
     /** Adds the stops that are due to the changes. */
     public void sendStops(long nowMillis) {
         mActions.addAll(mStops.due(nowMillis));
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobEntry.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobEntry.java
@@ -21,6 +21,13 @@
     JobState mState = JobState.PENDING;
     String mReason = "";
     int mPending;
+    int mSucceeded;
+    // Set when the last try found no worker, as opposed to no quota.
+    boolean mWaitsForRoom;
+    long mBlockedSinceMillis;
+    long mNextPreemptionMillis = Long.MIN_VALUE;
+    // Position among the jobs of its class; see JobQueue.
+    long mTurn;
     boolean mCancelled;
     // Reason of the failure that ends the job once its other tasks have stopped.
     String mFailure = "";
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobQueue.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobQueue.java
@@ -2,41 +2,61 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.TreeSet;
 import org.hyssoprouter.lib.TrafficClass;
 
-/** Jobs with tasks that wait for a worker, the more pressing class first, then by acceptance. */
+/**
+ * Jobs with tasks that wait for a worker, the more pressing class first. Within a class customers
+ * take turns: the second job that a customer has waiting comes after the first ones of all others.
+ */
 final class JobQueue {
     private static final Comparator<JobEntry> ORDER =
-            Comparator.<JobEntry, TrafficClass>comparing(job -> job.mSpec.trafficClass())
+            Comparator.<JobEntry>comparingLong(job -> job.mTurn)
                     .thenComparingLong(job -> job.mNumber);
 
-    private final TreeSet<JobEntry> mJobs = new TreeSet<>(ORDER);
-    private final PriorityQueue<BackOff> mBackOffs =
-            new PriorityQueue<>(Comparator.comparingLong(BackOff::readyMillis));
+    private final Map<TrafficClass, Lane> mLanes = new EnumMap<>(TrafficClass.class);
+    private final PriorityQueue<BackedOff> mBackedOff =
+            new PriorityQueue<>(Comparator.comparingLong(BackedOff::readyMillis));
+
+    /** Gives a new job its turn and adds it. */
+    void enter(JobEntry job) {
+        Lane lane = laneOf(job);
+        if (lane.mJobs.isEmpty()) {
+            lane.mNextTurns.clear();
+        }
+        long first = lane.mJobs.isEmpty() ? 0 : lane.mJobs.first().mTurn;
+        String customer = job.mSpec.customer();
+        job.mTurn = Math.max(first, lane.mNextTurns.getOrDefault(customer, 0L));
+        lane.mNextTurns.put(customer, job.mTurn + 1);
+        update(job);
+    }
 
     /** Adds a job if it has waiting tasks and may still place them, else removes it. */
     void update(JobEntry job) {
+        TreeSet<JobEntry> jobs = laneOf(job).mJobs;
         if (job.mWaiting.isEmpty() || job.isEnding()) {
-            mJobs.remove(job);
+            jobs.remove(job);
         } else {
-            mJobs.add(job);
+            jobs.add(job);
         }
     }
 
     void addBackOff(JobEntry job, TaskEntry task) {
-        mBackOffs.add(new BackOff(task.mReadyMillis, job, task));
+        mBackedOff.add(new BackedOff(task.mReadyMillis, job, task));
     }
 
     /** Removes and returns the back-offs that are over. */
-    List<BackOff> takeReady(long nowMillis) {
-        List<BackOff> ready = new ArrayList<>();
-        BackOff first = mBackOffs.peek();
+    List<BackedOff> takeReady(long nowMillis) {
+        List<BackedOff> ready = new ArrayList<>();
+        BackedOff first = mBackedOff.peek();
         while (first != null && first.readyMillis() <= nowMillis) {
-            ready.add(mBackOffs.remove());
-            first = mBackOffs.peek();
+            ready.add(mBackedOff.remove());
+            first = mBackedOff.peek();
         }
         return ready;
     }
@@ -44,19 +64,27 @@
     /** Returns the first jobs in their order. */
     List<JobEntry> first(int limit) {
         List<JobEntry> jobs = new ArrayList<>();
-        for (JobEntry job : mJobs) {
-            if (jobs.size() >= limit) {
-                break;
+        for (Lane lane : mLanes.values()) {
+            for (JobEntry job : lane.mJobs) {
+                if (jobs.size() >= limit) {
+                    return jobs;
+                }
+                jobs.add(job);
             }
-            jobs.add(job);
         }
         return jobs;
     }
 
-    boolean isEmpty() {
-        return mJobs.isEmpty();
+    private Lane laneOf(JobEntry job) {
+        return mLanes.computeIfAbsent(job.mSpec.trafficClass(), name -> new Lane());
     }
 
     /** A task that waits until an instant before it is tried again. */
-    record BackOff(long readyMillis, JobEntry job, TaskEntry task) {}
+    record BackedOff(long readyMillis, JobEntry job, TaskEntry task) {}
+
+    /** Jobs of one class, and the turn of each customer's next job. */
+    private static final class Lane {
+        private final TreeSet<JobEntry> mJobs = new TreeSet<>(ORDER);
+        private final Map<String, Long> mNextTurns = new HashMap<>();
+    }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobStore.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobStore.java
@@ -35,6 +35,8 @@
     private final Deque<JobEntry> mEnded = new ArrayDeque<>();
     private final TreeSet<String> mDrained = new TreeSet<>();
     private final JobQueue mQueue = new JobQueue();
+    private final LiveTasks mLive = new LiveTasks();
+    private final SizeLearner mSizes = new SizeLearner();
     private final Fleet mFleet;
     private long mNextNumber;
 
@@ -50,6 +52,14 @@
         return mQueue;
     }
 
+    LiveTasks live() {
+        return mLive;
+    }
+
+    SizeLearner sizes() {
+        return mSizes;
+    }
+
     Set<String> drained() {
         return mDrained;
     }
@@ -75,7 +85,7 @@
         } else if (event instanceof JobEnded ended) {
             endJob(ended);
         } else if (event instanceof TaskPlaced placed) {
-            placeTask(placed);
+            placeTask(placed, nowMillis);
         } else if (event instanceof TaskEnded ended) {
             endTask(ended, nowMillis);
         } else if (event instanceof WorkerDrained drained) {
@@ -90,7 +100,7 @@
         }
         JobEntry job = new JobEntry(event.spec(), event.wallMillis(), mNextNumber++);
         mJobs.put(id, job);
-        mQueue.update(job);
+        mQueue.enter(job);
     }
 
     private void cancel(JobCancelled event) {
@@ -125,7 +135,7 @@
         }
     }
 
-    private void placeTask(TaskPlaced event) {
+    private void placeTask(TaskPlaced event, long nowMillis) {
         JobEntry job = mJobs.get(event.task().job());
         TaskEntry task = task(event.task());
         if (job == null || task == null || event.attempt() <= task.mAttempt) {
@@ -139,8 +149,11 @@
         task.mHeld = event.room();
         task.mReason = "";
         task.mNotAfterMillis = 0;
+        task.mPlacedMillis = nowMillis;
         mFleet.force(task.mWorker, task.attemptId(), task.mHeld);
-        job.mSpread.add(task.mWorker, mFleet.rackOf(task.mWorker));
+        task.mRack = mFleet.rackOf(task.mWorker);
+        job.mSpread.add(task.mWorker, task.mRack);
+        mLive.add(job, task);
         job.setState(task, job.isEnding() ? TaskState.STOPPING : TaskState.STARTING);
         mQueue.update(job);
     }
@@ -160,6 +173,9 @@
         task.mAttempt = event.attempt();
         task.mEndedAttempt = event.attempt();
         task.mReason = event.message();
+        task.mFailedOn = event.state() == TaskReport.State.FAILED ? task.mWorker : "";
+        job.mSucceeded += event.state() == TaskReport.State.SUCCEEDED ? 1 : 0;
+        mSizes.note(job.mSpec, event.usage());
         task.mLastEnd = job.isEnding() ? TaskReport.State.STOPPED : event.state();
         job.setState(task, stateAfter(job, task, event.state(), nowMillis));
         if (task.mState == TaskState.BACKING_OFF) {
@@ -207,10 +223,22 @@
     private void free(JobEntry job, TaskEntry task) {
         AttemptId attempt = task.attemptId();
         mFleet.release(task.mWorker, attempt);
-        job.mSpread.remove(task.mWorker, mFleet.rackOf(task.mWorker));
+        job.mSpread.remove(task.mWorker, task.mRack);
+        mLive.remove(job, task);
         task.mHeld = Room.NONE;
     }
 
+    /** Raises the room that a live task holds to what it was seen to use. */
+    void raise(JobEntry job, TaskEntry task, Room usage) {
+        if (usage.fitsIn(task.mHeld)) {
+            return;
+        }
+        mLive.remove(job, task);
+        task.mHeld = task.mHeld.max(usage);
+        mFleet.force(task.mWorker, task.attemptId(), task.mHeld);
+        mLive.add(job, task);
+    }
+
     private void drain(WorkerDrained event) {
         if (event.drained()) {
             mDrained.add(event.worker());
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/LiveTasks.java
@@ -0,0 +1,73 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.lib.WorkKind;
+import org.jspecify.annotations.Nullable;
+
+/** Indexes of the tasks that may run somewhere: by customer, and bulk batch work by worker. */
+final class LiveTasks {
+    private final Map<String, Room> mRoomByCustomer = new HashMap<>();
+    private final TreeMap<String, LinkedHashSet<TaskEntry>> mBulkByWorker = new TreeMap<>();
+
+    void add(JobEntry job, TaskEntry task) {
+        mRoomByCustomer.merge(job.mSpec.customer(), task.mHeld, Room::plus);
+        if (isBulk(job)) {
+            mBulkByWorker.computeIfAbsent(task.mWorker, worker -> new LinkedHashSet<>()).add(task);
+        }
+    }
+
+    void remove(JobEntry job, TaskEntry task) {
+        mRoomByCustomer.computeIfPresent(
+                job.mSpec.customer(), (name, room) -> nullIfNone(room.minus(task.mHeld)));
+        LinkedHashSet<TaskEntry> bulk = mBulkByWorker.get(task.mWorker);
+        if (bulk != null && bulk.remove(task) && bulk.isEmpty()) {
+            mBulkByWorker.remove(task.mWorker);
+        }
+    }
+
+    Room usedBy(String customer) {
+        return mRoomByCustomer.getOrDefault(customer, Room.NONE);
+    }
+
+    /** Returns some workers that have bulk work, from a name on and then from the first. */
+    List<String> workersWithBulk(String from, int limit) {
+        List<String> workers = new ArrayList<>();
+        for (String worker : mBulkByWorker.tailMap(from, false).keySet()) {
+            if (workers.size() >= limit) {
+                return workers;
+            }
+            workers.add(worker);
+        }
+        for (String worker : mBulkByWorker.headMap(from, true).keySet()) {
+            if (workers.size() >= limit) {
+                return workers;
+            }
+            workers.add(worker);
+        }
+        return workers;
+    }
+
+    /** Returns the bulk tasks on a worker, the newest first. */
+    List<TaskEntry> bulkOn(String worker) {
+        List<TaskEntry> tasks =
+                new ArrayList<>(mBulkByWorker.getOrDefault(worker, new LinkedHashSet<>()));
+        Collections.reverse(tasks);
+        return tasks;
+    }
+
+    private static boolean isBulk(JobEntry job) {
+        return job.mSpec.kind() == WorkKind.BATCH && job.mSpec.trafficClass() == TrafficClass.BULK;
+    }
+
+    private static @Nullable Room nullIfNone(Room room) {
+        return room.equals(Room.NONE) ? null : room;
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/PackPolicy.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/PackPolicy.java
@@ -14,6 +14,8 @@
  */
 public final class PackPolicy implements PlacementPolicy {
     private static final int SAMPLE = 16;
+    // More than any share of a worker can be left over.
+    private static final double AVOIDED = 2;
 
     /** Creates the policy. */
     public PackPolicy() {}
@@ -22,7 +24,7 @@
     public List<Assignment> place(PlacementRequest request, Fleet fleet) {
         List<Assignment> placed = new ArrayList<>();
         for (AttemptId attempt : request.attempts()) {
-            WorkerFree best = best(request.room(), fleet.index().tightest(request.room(), SAMPLE));
+            WorkerFree best = best(request, fleet.index().tightest(request.room(), SAMPLE));
             if (best == null || !fleet.hold(best.worker(), attempt, request.room())) {
                 break;
             }
@@ -31,11 +33,13 @@
         return placed;
     }
 
-    private static @Nullable WorkerFree best(Room room, List<WorkerFree> sample) {
+    private static @Nullable WorkerFree best(PlacementRequest request, List<WorkerFree> sample) {
         WorkerFree best = null;
         double least = Double.MAX_VALUE;
         for (WorkerFree worker : sample) {
-            double left = largestLeft(worker.free().minus(room), worker.capacity());
+            Room over = worker.free().minus(request.room());
+            double left = largestLeft(over, worker.capacity());
+            left += worker.worker().equals(request.avoid()) ? AVOIDED : 0;
             if (left < least) {
                 least = left;
                 best = worker;
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/PlacementPass.java
@@ -0,0 +1,118 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.BiConsumer;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.lib.WorkKind;
+
+/** One pass over the waiting jobs, each of which gets what room there is for it. */
+final class PlacementPass {
+    private static final int MAX_TRIED = 64;
+    private static final int MAX_SEEN = 1_024;
+
+    private final Fleet mFleet;
+    private final Placer mPlacer;
+    private final GangReservation mReservation;
+    private final BiConsumer<JobEntry, List<Assignment>> mPlaced;
+    private final BiConsumer<JobEntry, Long> mBlocked;
+
+    /**
+     * Creates a pass.
+     *
+     * @param placed takes the assignments of a job
+     * @param blocked takes a job that still has waiting tasks, and the time
+     */
+    PlacementPass(
+            Fleet fleet,
+            Placer placer,
+            GangReservation reservation,
+            BiConsumer<JobEntry, List<Assignment>> placed,
+            BiConsumer<JobEntry, Long> blocked) {
+        mFleet = fleet;
+        mPlacer = placer;
+        mReservation = reservation;
+        mPlaced = placed;
+        mBlocked = blocked;
+    }
+
+    /**
+     * Places waiting tasks.
+     *
+     * @return number of tasks placed
+     */
+    int run(JobQueue queue, long nowMillis, int limit, QuotaView quotas) {
+        mReservation.refresh();
+        List<JobEntry> jobs = queue.first(MAX_SEEN);
+        List<Room> tooLarge = new ArrayList<>();
+        int placed = 0;
+        int tried = 0;
+        for (JobEntry job : jobs) {
+            if (placed >= limit || tried >= MAX_TRIED) {
+                break;
+            }
+            if (isHopeless(job, tooLarge)) {
+                continue;
+            }
+            tried++;
+            placed += place(job, limit - placed, quotas, seesReserved(job));
+            if (job.mWaiting.isEmpty() || placed >= limit) {
+                continue;
+            }
+            if (job.mWaitsForRoom && job.mSpec.kind() != WorkKind.GANG) {
+                tooLarge.add(mPlacer.sizeOf(job));
+            }
+            mBlocked.accept(job, nowMillis);
+        }
+        return placed + backfill(jobs, nowMillis, limit - placed, quotas);
+    }
+
+    /** Skips a job that needs at least as much as one that found no room in this pass. */
+    private boolean isHopeless(JobEntry job, List<Room> tooLarge) {
+        boolean special =
+                job.mSpec.kind() == WorkKind.GANG
+                        || job.mSpec.trafficClass() == TrafficClass.URGENT;
+        if (special || tooLarge.isEmpty()) {
+            return false;
+        }
+        Room room = mPlacer.sizeOf(job);
+        for (Room failed : tooLarge) {
+            if (failed.fitsIn(room)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private boolean seesReserved(JobEntry job) {
+        return mReservation.isFor(job) || job.mSpec.trafficClass() == TrafficClass.URGENT;
+    }
+
+    private int place(JobEntry job, int limit, QuotaView quotas, boolean seesReserved) {
+        mFleet.showReserved(seesReserved);
+        List<Assignment> assignments = mPlacer.place(job, limit, quotas);
+        if (!assignments.isEmpty()) {
+            mPlaced.accept(job, assignments);
+        }
+        mFleet.showReserved(false);
+        return assignments.size();
+    }
+
+    /** Lets short work run on reserved workers until the gang can start. */
+    private int backfill(List<JobEntry> jobs, long nowMillis, int limit, QuotaView quotas) {
+        int placed = 0;
+        int tried = 0;
+        for (JobEntry job : jobs) {
+            if (placed >= limit || tried >= MAX_TRIED) {
+                break;
+            }
+            if (job.mWaiting.isEmpty() || !mReservation.admits(job, nowMillis)) {
+                continue;
+            }
+            tried++;
+            placed += place(job, limit - placed, quotas, true);
+        }
+        return placed;
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/Placer.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/Placer.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.internal.placement;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.EnumMap;
 import java.util.List;
@@ -8,42 +9,100 @@
 import org.hyssoprouter.lib.WorkKind;
 import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
 
-/** Picks the policy for a job and asks it for workers. */
+/** Picks the policy for a job and asks it for workers, within the quota of its customer. */
 final class Placer {
-    /** Jobs looked at in one pass; those behind them wait for the next pass. */
-    static final int LOOK_AHEAD = 64;
-
     private final Map<WorkKind, PlacementPolicy> mPolicies = new EnumMap<>(WorkKind.class);
     private final Fleet mFleet;
+    private final LiveTasks mLive;
+    private final SizeLearner mSizes;
 
-    Placer(Fleet fleet) {
+    Placer(Fleet fleet, LiveTasks live, SizeLearner sizes) {
         mFleet = fleet;
+        mLive = live;
+        mSizes = sizes;
         PackPolicy pack = new PackPolicy();
         mPolicies.put(WorkKind.SERVICE, new SpreadPolicy());
         mPolicies.put(WorkKind.BATCH, pack);
         mPolicies.put(WorkKind.GANG, new GangPolicy(pack));
     }
 
+    /** Returns the room that a task of a job gets at present. */
+    Room sizeOf(JobEntry job) {
+        return mSizes.sizeOf(job.mSpec, mFleet.largestCapacity());
+    }
+
     /**
      * Chooses workers for waiting tasks of a job and holds room on them.
      *
      * @param limit most tasks to place; a gang is placed whole all the same
      */
-    List<Assignment> place(JobEntry job, int limit) {
+    List<Assignment> place(JobEntry job, int limit, QuotaView quotas) {
+        job.mWaitsForRoom = false;
+        Option<Room> quota = quotas.quotaOf(job.mSpec.customer());
+        if (quota.isEmpty()) {
+            job.mReason = "customer " + job.mSpec.customer() + " is not configured";
+            return List.of();
+        }
+        Room room = sizeOf(job);
+        Room left = quota.get().minus(mLive.usedBy(job.mSpec.customer()));
+        long allowed = left.isNegative() ? 0 : Fleet.timesIn(room, left);
         boolean whole = job.mSpec.kind() == WorkKind.GANG;
-        List<AttemptId> attempts = nextAttempts(job, whole ? Integer.MAX_VALUE : limit);
-        Room room = job.mSpec.room();
-        PlacementRequest request = new PlacementRequest(attempts, room, job.mSpread);
+        int wanted = whole ? job.mWaiting.size() : (int) Math.min(limit, allowed);
+        if (wanted == 0 || wanted > allowed) {
+            job.mReason = quotaReason(job);
+            return List.of();
+        }
+        if (wanted == allowed) {
+            job.mReason = quotaReason(job);
+        }
+        return place(job, wanted, room);
+    }
+
+    private List<Assignment> place(JobEntry job, int wanted, Room room) {
         PlacementPolicy policy = mPolicies.get(job.mSpec.kind());
-        List<Assignment> placed = policy == null ? List.of() : policy.place(request, mFleet);
-        if (placed.isEmpty()) {
-            job.mReason = reasonToWait(job);
+        List<Assignment> placed = new ArrayList<>();
+        for (PlacementRequest request : requests(job, wanted, room)) {
+            List<Assignment> some = policy == null ? List.of() : policy.place(request, mFleet);
+            placed.addAll(some);
+            if (some.size() < request.attempts().size()) {
+                job.mWaitsForRoom = true;
+                job.mReason = reasonToWait(job, room);
+                break;
+            }
         }
         return placed;
     }
 
-    private String reasonToWait(JobEntry job) {
-        Room room = job.mSpec.room();
+    /** Asks for the tasks together, but for those that failed somewhere: each avoids its worker. */
+    private static List<PlacementRequest> requests(JobEntry job, int wanted, Room room) {
+        List<PlacementRequest> requests = new ArrayList<>();
+        List<AttemptId> together = new ArrayList<>();
+        boolean whole = job.mSpec.kind() == WorkKind.GANG;
+        int left = wanted;
+        for (int index : job.mWaiting) {
+            if (left-- == 0) {
+                break;
+            }
+            TaskEntry task = job.mTasks[index];
+            AttemptId next = new AttemptId(task.mId, task.mAttempt + 1);
+            if (whole || task.mFailedOn.isEmpty()) {
+                together.add(next);
+            } else {
+                requests.add(
+                        new PlacementRequest(List.of(next), room, job.mSpread, task.mFailedOn));
+            }
+        }
+        if (!together.isEmpty()) {
+            requests.add(new PlacementRequest(together, room, job.mSpread, ""));
+        }
+        return requests;
+    }
+
+    private static String quotaReason(JobEntry job) {
+        return "quota of customer " + job.mSpec.customer() + " is used up";
+    }
+
+    private String reasonToWait(JobEntry job, Room room) {
         String size = text(room);
         if (mFleet.index().rackNames().isEmpty()) {
             return "no worker may receive work now";
@@ -67,16 +126,4 @@
                 + room.accelerators()
                 + " accelerators";
     }
-
-    private static List<AttemptId> nextAttempts(JobEntry job, int limit) {
-        List<AttemptId> attempts = new ArrayList<>();
-        for (int index : job.mWaiting) {
-            if (attempts.size() >= limit) {
-                break;
-            }
-            TaskEntry task = job.mTasks[index];
-            attempts.add(new AttemptId(task.mId, task.mAttempt + 1));
-        }
-        return attempts;
-    }
 }
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/SizeLearner.java
@@ -0,0 +1,109 @@
+package org.hyssoprouter.internal.placement;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.TreeMap;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.Room;
+
+/**
+ * Learns what tasks really use, by customer and command, from the peaks of ended tasks. Keeps a
+ * bounded number of commands, the least recently used ones are forgotten. Not thread-safe.
+ *
+ * @since 0.1
+ */
+public final class SizeLearner {
+    private static final int MAX_COMMANDS = 1_000;
+    private static final int WINDOW = 64;
+    private static final int MIN_SAMPLES = 3;
+    private static final int PERCENTILE = 95;
+
+    private final Map<Key, Samples> mSamples =
+            new LinkedHashMap<>(16, 0.75f, true) {
+                private static final long serialVersionUID = 1L;
+
+                @Override
+                protected boolean removeEldestEntry(Map.Entry<Key, Samples> eldest) {
+                    return size() > MAX_COMMANDS;
+                }
+            };
+
+    /** Creates a learner that knows nothing. */
+    public SizeLearner() {}
+
+    /** Notes the peak usage of an ended task; a report without usage teaches nothing. */
+    public void note(JobSpec spec, Room peak) {
+        if (peak.cpuMillis() <= 0 && peak.memoryBytes() <= 0) {
+            return;
+        }
+        mSamples.computeIfAbsent(keyOf(spec), key -> new Samples()).add(peak);
+    }
+
+    /**
+     * Returns the room to hold for a task: the larger of what it declares and what its command was
+     * seen to use, but never more than a whole worker, so that it can still be placed.
+     *
+     * @param largest capacity of the largest worker
+     */
+    public Room sizeOf(JobSpec spec, Room largest) {
+        Room declared = spec.room();
+        Samples samples = mSamples.get(keyOf(spec));
+        if (samples == null || samples.mCount < MIN_SAMPLES || !declared.fitsIn(largest)) {
+            return declared;
+        }
+        Room learned = samples.percentile();
+        return new Room(
+                Math.max(declared.cpuMillis(), Math.min(learned.cpuMillis(), largest.cpuMillis())),
+                Math.max(
+                        declared.memoryBytes(),
+                        Math.min(learned.memoryBytes(), largest.memoryBytes())),
+                declared.accelerators());
+    }
+
+    private static Key keyOf(JobSpec spec) {
+        return new Key(spec.customer(), spec.command().hashCode());
+    }
+
+    private record Key(String customer, int commandHash) {}
+
+    /** The newest peaks, in a ring and in order. */
+    private static final class Samples {
+        private final long[] mCpuMillis = new long[WINDOW];
+        private final long[] mMemoryBytes = new long[WINDOW];
+        private final TreeMap<Long, Integer> mCpuOrder = new TreeMap<>();
+        private final TreeMap<Long, Integer> mMemoryOrder = new TreeMap<>();
+        private int mCount;
+        private int mNext;
+
+        void add(Room peak) {
+            replace(mCpuMillis, mCpuOrder, peak.cpuMillis());
+            replace(mMemoryBytes, mMemoryOrder, peak.memoryBytes());
+            mNext = (mNext + 1) % WINDOW;
+            mCount = Math.min(WINDOW, mCount + 1);
+        }
+
+        private void replace(long[] ring, NavigableMap<Long, Integer> order, long value) {
+            if (mCount == WINDOW) {
+                order.computeIfPresent(ring[mNext], (key, count) -> count > 1 ? count - 1 : null);
+            }
+            ring[mNext] = value;
+            order.merge(value, 1, Integer::sum);
+        }
+
+        Room percentile() {
+            return new Room(percentile(mCpuOrder), percentile(mMemoryOrder), 0);
+        }
+
+        private long percentile(NavigableMap<Long, Integer> order) {
+            int above = mCount * (100 - PERCENTILE) / 100;
+            for (Map.Entry<Long, Integer> entry : order.descendingMap().entrySet()) {
+                above -= entry.getValue();
+                if (above < 0) {
+                    return entry.getKey();
+                }
+            }
+            return 0;
+        }
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/SpreadPolicy.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/SpreadPolicy.java
@@ -36,7 +36,7 @@
 
     private static @Nullable WorkerFree choose(
             AttemptId attempt, PlacementRequest request, TaskSpread added, WorkerIndex index) {
-        Counter counter = new Counter(request.spread(), added);
+        Counter counter = new Counter(request, added);
         List<String> racks = index.rackNames();
         WorkerFree best = null;
         int seen = 0;
@@ -59,13 +59,19 @@
     private static final class Counter {
         private final TaskSpread mBefore;
         private final TaskSpread mAdded;
+        private final String mAvoid;
 
-        Counter(TaskSpread before, TaskSpread added) {
-            mBefore = before;
+        Counter(PlacementRequest request, TaskSpread added) {
+            mBefore = request.spread();
+            mAvoid = request.avoid();
             mAdded = added;
         }
 
         int compare(WorkerFree a, WorkerFree b) {
+            int byAvoid = Boolean.compare(isAvoided(a), isAvoided(b));
+            if (byAvoid != 0) {
+                return byAvoid;
+            }
             int byRack = Integer.compare(onRack(a), onRack(b));
             if (byRack != 0) {
                 return byRack;
@@ -91,6 +97,10 @@
             return best != null ? best : WorkerIndex.roomiest(rack, room);
         }
 
+        private boolean isAvoided(WorkerFree worker) {
+            return worker.worker().equals(mAvoid);
+        }
+
         private int onRack(WorkerFree worker) {
             return mBefore.onRack(worker.rack()) + mAdded.onRack(worker.rack());
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/StopOrders.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/StopOrders.java
@@ -11,30 +11,42 @@
 final class StopOrders {
     private static final long REPEAT_MILLIS = 1_000;
 
-    private final Map<AttemptId, Order> mOrders = new LinkedHashMap<>();
+    // Sent orders in the order in which they are due, because each repeats after the same time.
+    private final LinkedHashMap<AttemptId, Order> mSent = new LinkedHashMap<>();
+    private final LinkedHashMap<AttemptId, Order> mFresh = new LinkedHashMap<>();
 
     /** Adds a stop, due at once; a kill takes the place of a milder one. */
     void add(AttemptId attempt, String worker, StopMode mode) {
-        Order before = mOrders.get(attempt);
+        Order before = mSent.getOrDefault(attempt, mFresh.get(attempt));
         if (before != null && (before.mMode == mode || before.mMode == StopMode.KILL)) {
             return;
         }
-        mOrders.put(attempt, new Order(worker, mode));
+        mSent.remove(attempt);
+        mFresh.put(attempt, new Order(worker, mode));
     }
 
     void remove(AttemptId attempt) {
-        mOrders.remove(attempt);
+        mSent.remove(attempt);
+        mFresh.remove(attempt);
     }
 
     /** Returns the stops to send now; each comes again after a time until it is removed. */
     List<PlacementAction> due(long nowMillis) {
         List<PlacementAction> due = new ArrayList<>();
-        for (Map.Entry<AttemptId, Order> entry : mOrders.entrySet()) {
-            Order order = entry.getValue();
-            if (order.mDueMillis <= nowMillis) {
-                order.mDueMillis = nowMillis + REPEAT_MILLIS;
-                due.add(new PlacementAction.Stop(entry.getKey(), order.mWorker, order.mMode));
+        Map<AttemptId, Order> sending = new LinkedHashMap<>(mFresh);
+        mFresh.clear();
+        for (Map.Entry<AttemptId, Order> entry : mSent.entrySet()) {
+            if (entry.getValue().mDueMillis > nowMillis) {
+                break;
             }
+            sending.put(entry.getKey(), entry.getValue());
+        }
+        for (Map.Entry<AttemptId, Order> entry : sending.entrySet()) {
+            Order order = entry.getValue();
+            order.mDueMillis = nowMillis + REPEAT_MILLIS;
+            mSent.remove(entry.getKey());
+            mSent.put(entry.getKey(), order);
+            due.add(new PlacementAction.Stop(entry.getKey(), order.mWorker, order.mMode));
         }
         return due;
     }
@@ -42,7 +54,7 @@
     private static final class Order {
         private final String mWorker;
         private final StopMode mMode;
-        private long mDueMillis = Long.MIN_VALUE;
+        private long mDueMillis;
 
         Order(String worker, StopMode mode) {
             mWorker = worker;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/TaskEntry.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/TaskEntry.java
@@ -18,9 +18,13 @@
     int mFailures;
     TaskReport.State mLastEnd = TaskReport.State.STOPPED;
     String mWorker = "";
+    String mRack = "";
     Room mHeld = Room.NONE;
     String mReason = "";
+    // Worker of the last attempt if it failed, else empty.
+    String mFailedOn = "";
     long mReadyMillis;
+    long mPlacedMillis;
     // On the clock of its worker; 0 for an attempt placed under an earlier epoch.
     long mNotAfterMillis;
 
