--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
@@ -268,6 +268,9 @@
     }
 
     private void configure(CellPlan plan) {
+        if (mDaemons.isEmpty()) {
+            return;
+        }
         List<String> regions =
                 plan.domains().stream().map(CellPlan.Domain::region).distinct().toList();
         ConfigDocument document = CellConfig.initial(regions);
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/JournalCase.java
@@ -0,0 +1,231 @@
+package org.hyssoprouter.bench;
+
+import io.vavr.control.Option;
+import java.io.PrintStream;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.hyssoprouter.daemon.adapter.HttpCaller;
+import org.hyssoprouter.daemon.adapter.HttpTableService;
+import org.hyssoprouter.internal.journal.GroupSettings;
+import org.hyssoprouter.internal.journal.GroupWriter;
+import org.hyssoprouter.internal.journal.GroupWriterThread;
+import org.hyssoprouter.internal.journal.Journal;
+import org.hyssoprouter.internal.journal.JournalKeys;
+import org.hyssoprouter.internal.journal.OwnRow;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TaskId;
+import org.hyssoprouter.standin.platform.PlatformStats;
+import org.hyssoprouter.transport.TableService;
+import org.hyssoprouter.transport.Transaction;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * Placements made durable in groups, against one transaction for each, on the platform's stand-in
+ * with a delay for each call. Both ways keep a bounded number of placements open at once.
+ *
+ * @since 0.1
+ */
+public final class JournalCase implements MeasureCase {
+    private static final int OPEN = 512;
+    private static final int WRITERS = 32;
+    private static final int MAX_SAMPLES = 2_000_000;
+    private static final long STORE_DELAY_MILLIS = 3;
+    private static final long CALL_MILLIS = 2_000;
+    private static final String SHARD_KEY = "cell/shard/s";
+
+    @Override
+    public String name() {
+        return "journal";
+    }
+
+    @Override
+    public String description() {
+        return "placements/s and table writes/s, grouped against one write per placement";
+    }
+
+    @Override
+    public boolean run(MeasureOptions options, PrintStream out) throws Exception {
+        HttpCaller caller = new HttpCaller(Executors.newCachedThreadPool(), WRITERS);
+        try (Cell cell = Cell.start(new CellPlan().domain("d", "south", 0, 1))) {
+            cell.client()
+                    .fault(cell.platformAddress(), "{\"delayMillis\":" + STORE_DELAY_MILLIS + "}");
+            TableService table = new HttpTableService(caller, cell.platformAddress(), CALL_MILLIS);
+            long version = table.commit(Transaction.create().put(SHARD_KEY, new byte[0])).get();
+            out.printf(
+                    "store delay %d ms, at most %d placements open, %d s each%n",
+                    STORE_DELAY_MILLIS, OPEN, options.seconds());
+            out.println("way       placements/s  commits/s  rows/s  p50 ms  p99 ms");
+            Run grouped = new Run(cell, options.seconds());
+            grouped(grouped, table, version);
+            grouped.print("grouped", out);
+            Run single = new Run(cell, options.seconds());
+            oneByOne(single, table, version);
+            single.print("single", out);
+            return grouped.mDone.get() > 0 && single.mDone.get() > 0;
+        } finally {
+            caller.stop();
+        }
+    }
+
+    private static ShardEvent placement(int index) {
+        return new ShardEvent.TaskPlaced(
+                new TaskId("job-" + index / 100, index % 100),
+                1,
+                "w-" + index % 30,
+                new Room(1000, 1L << 30, 0));
+    }
+
+    private static void grouped(Run run, TableService table, long version)
+            throws InterruptedException {
+        MonotonicClock clock = MonotonicClock.system();
+        GroupWriter writer = new GroupWriter(table, new Beat(), GroupSettings.defaults(), clock);
+        Journal journal = new Journal("s", 1, SHARD_KEY, version, writer, clock, new NoListener());
+        journal.open();
+        GroupWriterThread thread = new GroupWriterThread(writer);
+        thread.start();
+        Semaphore open = new Semaphore(OPEN);
+        run.start();
+        for (int i = 0; run.isOn(); i++) {
+            open.acquire();
+            long sentNanos = System.nanoTime();
+            CompletableFuture<?> unused =
+                    journal.append(List.of(placement(i)), 0)
+                            .thenAccept(
+                                    result -> {
+                                        run.done(sentNanos, result.isRight());
+                                        open.release();
+                                    });
+        }
+        open.acquire(OPEN);
+        run.end();
+        thread.stop();
+    }
+
+    private static void oneByOne(Run run, TableService table, long version)
+            throws InterruptedException {
+        ExecutorService threads = Executors.newFixedThreadPool(WRITERS);
+        AtomicInteger next = new AtomicInteger();
+        run.start();
+        CompletableFuture<?>[] writers = new CompletableFuture<?>[WRITERS];
+        for (int w = 0; w < WRITERS; w++) {
+            writers[w] =
+                    CompletableFuture.runAsync(
+                            () -> {
+                                while (run.isOn()) {
+                                    writeOne(run, table, version, next.incrementAndGet());
+                                }
+                            },
+                            threads);
+        }
+        CompletableFuture.allOf(writers).join();
+        run.end();
+        threads.shutdown();
+    }
+
+    private static void writeOne(Run run, TableService table, long version, int index) {
+        long sentNanos = System.nanoTime();
+        Transaction transaction =
+                Transaction.create()
+                        .check(SHARD_KEY, version)
+                        .put(JournalKeys.row("t", 1, index), MessageCodec.encode(placement(index)));
+        run.done(sentNanos, table.commit(transaction).isRight());
+    }
+
+    private static final class NoListener implements Journal.Listener {
+        @Override
+        public void confirmed(long startedMillis) {}
+
+        @Override
+        public void lost() {
+            throw new IllegalStateException("nobody else writes the shard's row");
+        }
+    }
+
+    private static final class Beat implements OwnRow {
+        @Override
+        public String key() {
+            return "cell/daemon/bench";
+        }
+
+        @Override
+        public byte[] encode(long sequence) {
+            return ByteBuffer.allocate(Long.BYTES).putLong(sequence).array();
+        }
+
+        @Override
+        public Option<Long> sequenceOf(byte[] value) {
+            return Option.some(ByteBuffer.wrap(value).getLong());
+        }
+    }
+
+    private static final class Run {
+        private final Cell mCell;
+        private final int mSeconds;
+        private final AtomicInteger mDone = new AtomicInteger();
+        private final AtomicLong mFailed = new AtomicLong();
+        private final int[] mMicros = new int[MAX_SAMPLES];
+        private long mStartNanos;
+        private double mElapsedSeconds;
+        private PlatformStats mBefore;
+        private PlatformStats mAfter;
+
+        Run(Cell cell, int seconds) {
+            mCell = cell;
+            mSeconds = seconds;
+            mBefore = cell.platformStats();
+            mAfter = mBefore;
+        }
+
+        void start() {
+            mBefore = mCell.platformStats();
+            mStartNanos = System.nanoTime();
+        }
+
+        boolean isOn() {
+            return System.nanoTime() - mStartNanos < mSeconds * 1_000_000_000L;
+        }
+
+        void end() {
+            mElapsedSeconds = (System.nanoTime() - mStartNanos) / 1e9;
+            mAfter = mCell.platformStats();
+        }
+
+        void done(long sentNanos, boolean isDurable) {
+            if (!isDurable) {
+                mFailed.incrementAndGet();
+                return;
+            }
+            int index = mDone.getAndIncrement();
+            if (index < MAX_SAMPLES) {
+                mMicros[index] = (int) ((System.nanoTime() - sentNanos) / 1000);
+            }
+        }
+
+        void print(String way, PrintStream out) {
+            int[] micros = Arrays.copyOf(mMicros, Math.min(mDone.get(), MAX_SAMPLES));
+            Arrays.sort(micros);
+            double p50Millis = micros[micros.length / 2] / 1000.0;
+            double p99Millis = micros[(int) (micros.length * 0.99)] / 1000.0;
+            double placements = mDone.get() / mElapsedSeconds;
+            double commits = (mAfter.commits() - mBefore.commits()) / mElapsedSeconds;
+            double rows = (mAfter.rowsWritten() - mBefore.rowsWritten()) / mElapsedSeconds;
+            out.printf(
+                    "%-9s %12.0f %10.1f %7.1f %7.1f %7.1f%n",
+                    way, placements, commits, rows, p50Millis, p99Millis);
+            out.printf(
+                    "{\"case\":\"journal\",\"way\":\"%s\",\"placementsPerSecond\":%.0f,"
+                            + "\"commitsPerSecond\":%.1f,\"rowsPerSecond\":%.1f,"
+                            + "\"p50Millis\":%.1f,\"p99Millis\":%.1f,\"failed\":%d}%n",
+                    way, placements, commits, rows, p50Millis, p99Millis, mFailed.get());
+        }
+    }
+}
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
@@ -13,7 +13,8 @@
  * @since 0.1
  */
 public final class Measure {
-    private static final List<MeasureCase> CASES = List.of(new FaultsCase());
+    private static final List<MeasureCase> CASES =
+            List.of(new FaultsCase(), new JournalCase(), new TakeoverCase());
 
     private static final String DEFAULT_SEED = "1";
     private static final String DEFAULT_SECONDS = "30";
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/TakeoverCase.java
@@ -0,0 +1,160 @@
+package org.hyssoprouter.bench;
+
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.lib.TrafficClass;
+
+/**
+ * Time in which a cell with a single shard runs no request, around the death, the freeze and the
+ * planned stop of the shard's owner. A caller at another entry sends one short request after the
+ * other; the time is the longest one between two complete answers.
+ *
+ * @since 0.1
+ */
+public final class TakeoverCase implements MeasureCase {
+    private static final String SHARD = "d";
+    private static final int DAEMONS = 4;
+    private static final int ROUNDS = 3;
+    private static final long CALM_MILLIS = 2_000;
+    private static final long RECOVERY_MILLIS = 60_000;
+    private static final long REQUEST_MILLIS = 400;
+    private static final long PAUSE_MILLIS = 10;
+    private static final int EXIT_SECONDS = 60;
+
+    private enum Fault {
+        KILL,
+        FREEZE,
+        STOP
+    }
+
+    @Override
+    public String name() {
+        return "takeover";
+    }
+
+    @Override
+    public String description() {
+        return "time without an owner after a kill, a freeze and a planned stop";
+    }
+
+    @Override
+    public boolean run(MeasureOptions options, PrintStream out) throws Exception {
+        boolean allCame = true;
+        CellPlan plan = new CellPlan().domain(SHARD, "south", DAEMONS, 2);
+        try (Cell cell = Cell.start(plan)) {
+            for (Fault fault : Fault.values()) {
+                List<Long> gaps = new ArrayList<>();
+                for (int round = 0; round < ROUNDS; round++) {
+                    gaps.add(oneRound(cell, fault));
+                }
+                allCame &= gaps.stream().allMatch(gap -> gap < RECOVERY_MILLIS);
+                Figures.row(out, "without answers, " + fault + ", ms", gaps);
+                out.printf(
+                        "{\"case\":\"takeover\",\"fault\":\"%s\",\"gapMillis\":%s}%n", fault, gaps);
+            }
+        }
+        return allCame;
+    }
+
+    private static long oneRound(Cell cell, Fault fault) throws Exception {
+        Cell.await("owner", RECOVERY_MILLIS, () -> hasOwner(cell));
+        DaemonProcess owner = cell.ownerOf(SHARD);
+        Prober prober = new Prober(cell, cell.liveDaemonExcept(List.of(owner)));
+        CompletableFuture<Void> probing = CompletableFuture.runAsync(prober::run);
+        Cell.await("first answers", RECOVERY_MILLIS, () -> prober.answers() > 0);
+        Cell.pause(CALM_MILLIS);
+        long faultNanos = System.nanoTime();
+        apply(fault, owner);
+        Cell.pause(CALM_MILLIS);
+        Cell.await(
+                "answers after " + fault,
+                RECOVERY_MILLIS,
+                () -> prober.lastNanos() - faultNanos > CALM_MILLIS * 1_000_000);
+        Cell.pause(CALM_MILLIS);
+        prober.stop();
+        probing.join();
+        undo(fault, owner);
+        Cell.pause(CALM_MILLIS);
+        return prober.longestGapMillis();
+    }
+
+    private static boolean hasOwner(Cell cell) {
+        try {
+            return cell.ownerOf(SHARD).process().isAlive();
+        } catch (RuntimeException e) {
+            return false;
+        }
+    }
+
+    private static void apply(Fault fault, DaemonProcess owner) {
+        switch (fault) {
+            case KILL -> owner.process().kill();
+            case FREEZE -> owner.process().freeze();
+            default -> owner.process().terminate();
+        }
+    }
+
+    private static void undo(Fault fault, DaemonProcess owner) throws Exception {
+        if (fault == Fault.FREEZE) {
+            owner.process().thaw();
+            return;
+        }
+        if (!owner.process().waitForExit(EXIT_SECONDS)) {
+            throw new IllegalStateException(owner.name() + " did not end");
+        }
+        owner.restart();
+    }
+
+    /** Sends requests one after the other and keeps the times of their answers. */
+    private static final class Prober {
+        private final Cell mCell;
+        private final DaemonProcess mEntry;
+        private final List<Long> mAnsweredNanos = new ArrayList<>();
+        private volatile boolean mStopped;
+
+        Prober(Cell cell, DaemonProcess entry) {
+            mCell = cell;
+            mEntry = entry;
+        }
+
+        void run() {
+            for (int i = 0; !mStopped; i++) {
+                CallerRequest request =
+                        CallerRequest.idempotent(
+                                        "p" + System.nanoTime() + i, CellConfig.FIRST_CUSTOMER, 1)
+                                .in(TrafficClass.NORMAL, REQUEST_MILLIS);
+                if (mCell.client().send(mEntry, request).ran()) {
+                    answered(System.nanoTime());
+                }
+                Cell.pause(PAUSE_MILLIS);
+            }
+        }
+
+        private synchronized void answered(long nanos) {
+            mAnsweredNanos.add(nanos);
+        }
+
+        synchronized int answers() {
+            return mAnsweredNanos.size();
+        }
+
+        synchronized long lastNanos() {
+            return mAnsweredNanos.get(mAnsweredNanos.size() - 1);
+        }
+
+        void stop() {
+            mStopped = true;
+        }
+
+        synchronized long longestGapMillis() {
+            long longestNanos = 0;
+            for (int i = 1; i < mAnsweredNanos.size(); i++) {
+                longestNanos =
+                        Math.max(longestNanos, mAnsweredNanos.get(i) - mAnsweredNanos.get(i - 1));
+            }
+            return longestNanos / 1_000_000;
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OldRows.java
@@ -0,0 +1,43 @@
+package org.hyssoprouter.daemon.ownership;
+
+import io.vavr.control.Either;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.journal.GroupCommit;
+import org.hyssoprouter.internal.ownership.CellKeys;
+import org.hyssoprouter.internal.ownership.DaemonRow;
+import org.hyssoprouter.internal.ownership.LivenessView;
+import org.hyssoprouter.transport.Transaction;
+
+/** Deletes the rows of daemons that are gone for good; the first live daemon by name does it. */
+final class OldRows {
+    private static final long GONE_AFTER_MILLIS = 60_000;
+    private static final long COMMIT_MILLIS = 1000;
+
+    private final String mOwnName;
+    private final LivenessView mLiveness;
+    private final GroupCommit mCommits;
+
+    OldRows(String ownName, LivenessView liveness, GroupCommit commits) {
+        mOwnName = ownName;
+        mLiveness = liveness;
+        mCommits = commits;
+    }
+
+    void deleteFrom(CellView view, List<DaemonRow> live) {
+        if (live.isEmpty() || !live.get(0).name().equals(mOwnName)) {
+            return;
+        }
+        for (DaemonRow daemon : view.daemons()) {
+            String key = CellKeys.daemon(daemon.name());
+            boolean isOwner =
+                    view.shards().stream().anyMatch(row -> row.owner().equals(daemon.name()));
+            if (!isOwner && mLiveness.silentMillis(daemon.name()) >= GONE_AFTER_MILLIS) {
+                Transaction delete = Transaction.create().check(key, view.version(key)).delete(key);
+                CompletableFuture<Either<TableError, Boolean>> unused =
+                        mCommits.commit(delete, COMMIT_MILLIS);
+            }
+        }
+    }
+}
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OutageInquiry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OutageInquiry.java
@@ -1,10 +1,12 @@
 package org.hyssoprouter.daemon.ownership;
 
+import io.vavr.control.Option;
 import java.io.IOException;
 import java.util.Collection;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.internal.ownership.DaemonRow;
+import org.hyssoprouter.internal.ownership.RivalSet;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.transport.PeerCallType;
 import org.hyssoprouter.transport.PeerTransport;
@@ -16,41 +18,55 @@
     private final PeerTransport mPeers;
     private final MonotonicClock mClock;
     private final DaemonRow mSelf;
+    private final RivalSet mRivals;
     private final OwnershipSettings mSettings;
 
     OutageInquiry(
-            PeerTransport peers, MonotonicClock clock, DaemonRow self, OwnershipSettings settings) {
+            PeerTransport peers,
+            MonotonicClock clock,
+            DaemonRow self,
+            RivalSet rivals,
+            OwnershipSettings settings) {
         mPeers = peers;
         mClock = clock;
         mSelf = self;
+        mRivals = rivals;
         mSettings = settings;
     }
 
     /**
-     * Confirms the holdings of which no recent group tells, once every peer has agreed.
+     * Confirms the holdings of which no recent group tells, once every rival has agreed.
      *
      * @param holdings shards of this daemon's region that it owns
-     * @param rivals the other live daemons of the region
      */
-    void ask(Collection<ShardHolding> holdings, List<DaemonRow> rivals) {
+    void ask(Collection<ShardHolding> holdings) {
         long dueMillis = mSettings.confirmMillis() / 2;
         List<ShardHolding> unconfirmed =
                 holdings.stream().filter(h -> h.confirmation().ageMillis() > dueMillis).toList();
         if (unconfirmed.isEmpty()) {
             return;
         }
-        if (rivals.isEmpty()) {
+        List<RivalSet.Rival> asked = mRivals.all();
+        if (asked.isEmpty()) {
             confirmAlone(unconfirmed);
             return;
         }
         long sentMillis = mClock.millis();
         byte[] payload = MessageCodec.encode(query(unconfirmed));
         CompletableFuture<Boolean> all = CompletableFuture.completedFuture(true);
-        for (DaemonRow rival : rivals) {
+        for (RivalSet.Rival rival : asked) {
             all = all.thenCombine(askOne(rival, payload), Boolean::logicalAnd);
         }
         CompletableFuture<Void> unused =
-                all.thenAccept(agreed -> confirm(unconfirmed, agreed, sentMillis));
+                all.thenAccept(agreed -> confirm(unconfirmed, agreed, asked, sentMillis));
+    }
+
+    /** Makes this daemon known to the others of its region, whatever they answer. */
+    void notice(List<DaemonRow> others) {
+        byte[] payload = MessageCodec.encode(query(List.of()));
+        for (DaemonRow other : others) {
+            CompletableFuture<?> unused = send(other.peerAddress(), payload);
+        }
     }
 
     private TableStatusQuery query(List<ShardHolding> holdings) {
@@ -58,30 +74,47 @@
                 holdings.stream()
                         .map(h -> new TableStatusQuery.Holding(h.row().shard(), h.row().epoch()))
                         .toList();
-        return new TableStatusQuery(mSelf.name(), mSelf.incarnation(), held);
+        RivalSet.Rival self = new RivalSet.Rival(mSelf.name(), mSelf.peerAddress());
+        return new TableStatusQuery(self, mSelf.region(), mSelf.incarnation(), held);
     }
 
-    private CompletableFuture<Boolean> askOne(DaemonRow rival, byte[] payload) {
+    private CompletableFuture<Boolean> askOne(RivalSet.Rival rival, byte[] payload) {
+        return send(rival.peerAddress(), payload)
+                .thenApply(answer -> answer.exists(this::agrees))
+                .exceptionally(failure -> false);
+    }
+
+    private CompletableFuture<Option<TableStatusQuery.Answer>> send(
+            String address, byte[] payload) {
         return mPeers.call(
-                        rival.peerAddress(),
+                        address,
                         PeerCallType.TABLE_STATUS.number(),
                         TrafficClass.URGENT,
                         payload,
                         mSettings.confirmMillis() / 2)
-                .thenApply(answer -> answer.isRight() && cannotRead(answer.get()))
-                .exceptionally(failure -> false);
+                .thenApply(answer -> answer.toOption().flatMap(OutageInquiry::decode));
     }
 
-    private static boolean cannotRead(byte[] answer) {
+    private static Option<TableStatusQuery.Answer> decode(byte[] answer) {
         try {
-            return MessageCodec.decode(answer, TableStatusQuery.Answer.class).cannotRead();
+            return Option.some(MessageCodec.decode(answer, TableStatusQuery.Answer.class));
         } catch (IOException e) {
-            return false;
+            return Option.none();
         }
     }
 
-    private static void confirm(List<ShardHolding> holdings, boolean agreed, long sentMillis) {
-        if (agreed) {
+    private boolean agrees(TableStatusQuery.Answer answer) {
+        answer.rivals().forEach(rival -> mRivals.meet(rival, mClock.millis()));
+        return answer.cannotRead();
+    }
+
+    private void confirm(
+            List<ShardHolding> holdings,
+            boolean agreed,
+            List<RivalSet.Rival> asked,
+            long sentMillis) {
+        // A rival that came to be known in the meantime has to be asked first.
+        if (agreed && asked.containsAll(mRivals.all())) {
             holdings.forEach(holding -> holding.confirmation().confirm(sentMillis));
         }
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OwnershipService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OwnershipService.java
@@ -3,28 +3,27 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
-import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.journal.CommitLane;
+import org.hyssoprouter.internal.journal.EventList;
 import org.hyssoprouter.internal.journal.GroupCommit;
 import org.hyssoprouter.internal.journal.GroupWriter;
-import org.hyssoprouter.internal.journal.GroupWriterThread;
+import org.hyssoprouter.internal.journal.RecoveredShard;
 import org.hyssoprouter.internal.journal.Recovery;
+import org.hyssoprouter.internal.journal.ShardEvent;
 import org.hyssoprouter.internal.journal.SnapshotStore;
 import org.hyssoprouter.internal.ownership.CellKeys;
 import org.hyssoprouter.internal.ownership.DaemonHeartbeat;
 import org.hyssoprouter.internal.ownership.DaemonRow;
 import org.hyssoprouter.internal.ownership.LivenessView;
 import org.hyssoprouter.internal.ownership.OwnedShard;
-import org.hyssoprouter.internal.ownership.OwnershipPlanner;
+import org.hyssoprouter.internal.ownership.RivalSet;
 import org.hyssoprouter.internal.ownership.ShardDirectory;
 import org.hyssoprouter.internal.ownership.ShardRow;
-import org.hyssoprouter.lib.HostInfo;
 import org.hyssoprouter.transport.ObjectStore;
 import org.hyssoprouter.transport.PeerTransport;
 import org.hyssoprouter.transport.Row;
@@ -45,23 +44,26 @@
     private final DaemonRow mSelf;
     private final TableService mTable;
     private final HostListView mHosts;
+    private final PeerTransport mPeers;
     private final MonotonicClock mClock;
     private final LivenessView mLiveness;
     private final DaemonHeartbeat mHeartbeat;
     private final GroupWriter mWriter;
-    private final GroupWriterThread mWriterThread;
+    private final Service mWriterThread;
     private final CommitLane mCommits;
-    private final TaskThread mPoll = new TaskThread("ownership-poll");
-    private final TaskThread mWork = new TaskThread("ownership-work");
-    private final TaskThread mTimer = new TaskThread("ownership-timer");
+    private final Tasks mPoll;
+    private final Tasks mWork;
+    private final Tasks mTimer;
     private final ShardKeeper mKeeper;
     private final Snapshots mSnapshots;
+    private final RivalSet mRivals;
     private final OutageInquiry mInquiry;
+    private final Claims mClaims;
+    private final OldRows mOldRows;
     private final List<Consumer<Row>> mConfigListeners = new CopyOnWriteArrayList<>();
     private volatile CellView mView = CellView.of(List.of());
     private volatile List<DaemonRow> mLive = List.of();
     private volatile boolean mStopping;
-    private long mOwnRowSeenMillis = Long.MIN_VALUE;
 
     /**
      * Creates the service.
@@ -69,6 +71,7 @@
      * @param self identity of this daemon, with an incarnation drawn at this start
      * @param hosts copy of the host list, which this service refreshes
      * @param factory opens shards; an instance that is never started folds a history
+     * @param reach tells whether shards of another region can be reached
      */
     public OwnershipService(
             OwnershipSettings settings,
@@ -78,19 +81,51 @@
             HostListView hosts,
             PeerTransport peers,
             OwnedShard.Factory factory,
+            ShardReach reach,
             MonotonicClock clock) {
+        this(settings, self, table, objects, hosts, peers, factory, reach, clock, Threads.ofJvm());
+    }
+
+    /** As above, and takes over no shard of another region. */
+    public OwnershipService(
+            OwnershipSettings settings,
+            DaemonRow self,
+            TableService table,
+            ObjectStore objects,
+            HostListView hosts,
+            PeerTransport peers,
+            OwnedShard.Factory factory,
+            MonotonicClock clock) {
+        this(settings, self, table, objects, hosts, peers, factory, ShardReach.NONE, clock);
+    }
+
+    OwnershipService(
+            OwnershipSettings settings,
+            DaemonRow self,
+            TableService table,
+            ObjectStore objects,
+            HostListView hosts,
+            PeerTransport peers,
+            OwnedShard.Factory factory,
+            ShardReach reach,
+            MonotonicClock clock,
+            Threads threads) {
         mSettings = settings;
         mSelf = self;
         mTable = table;
         mHosts = hosts;
+        mPeers = peers;
         mClock = clock;
+        mPoll = threads.tasks("ownership-poll");
+        mWork = threads.tasks("ownership-work");
+        mTimer = threads.tasks("ownership-timer");
         mLiveness =
                 new LivenessView(
                         settings.deadAfterMillis(),
                         2 * settings.pollMillis() + settings.pollMillis() / 2);
         mHeartbeat = new DaemonHeartbeat(self);
         mWriter = new GroupWriter(table, mHeartbeat, settings.groups(), clock);
-        mWriterThread = new GroupWriterThread(mWriter);
+        mWriterThread = threads.writer(mWriter);
         mCommits = new CommitLane(mWriter, clock);
         Recovery recovery = new Recovery(table, objects);
         mKeeper =
@@ -105,7 +140,12 @@
                         factory,
                         settings.snapshotRows(),
                         mWork);
-        mInquiry = new OutageInquiry(peers, clock, self, settings);
+        mRivals = new RivalSet(self.name());
+        mInquiry = new OutageInquiry(peers, clock, self, mRivals, settings);
+        mOldRows = new OldRows(self.name(), mLiveness, mCommits);
+        mClaims =
+                new Claims(
+                        settings, self, mLiveness, mKeeper, mInquiry, hosts, reach, clock, mPoll);
     }
 
     @Override
@@ -160,11 +200,35 @@
         mStopping = true;
         mHeartbeat.stopping();
         mWriter.signal();
-        Handover handover = new Handover(mKeeper, mCommits, mPoll);
+        Handover handover = new Handover(mKeeper, mCommits, mPeers, mPoll);
         return CompletableFuture.completedFuture(mView)
                 .thenComposeAsync(view -> handover.run(view.shards(), candidates(false)), mPoll);
     }
 
+    /** Answers a peer's call of type {@code HANDOVER}. */
+    public CompletableFuture<byte[]> onHandover(byte[] payload) {
+        try {
+            HandoverOffer offer = MessageCodec.decode(payload, HandoverOffer.class);
+            boolean welcome = !mStopping && offer.row().incarnation().equals(mSelf.incarnation());
+            if (welcome) {
+                Option<RecoveredShard> history = historyOf(offer);
+                mPoll.execute(() -> mKeeper.adopt(offer.row(), offer.rowVersion(), history));
+            }
+            byte[] answer = MessageCodec.encode(new HandoverOffer.Answer(welcome));
+            return CompletableFuture.completedFuture(answer);
+        } catch (IOException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private static Option<RecoveredShard> historyOf(HandoverOffer offer) throws IOException {
+        if (offer.events().length == 0) {
+            return Option.none();
+        }
+        List<ShardEvent> events = EventList.decode(offer.events());
+        return Option.some(new RecoveredShard(events, offer.lastSequence(), List.of()));
+    }
+
     /** Answers a peer's call of type {@code TABLE_STATUS}. */
     public CompletableFuture<byte[]> onTableStatus(byte[] payload) {
         TableStatusQuery query;
@@ -173,16 +237,20 @@
         } catch (IOException e) {
             return CompletableFuture.failedFuture(e);
         }
+        if (query.region().equals(mSelf.region())) {
+            mRivals.meet(query.asker(), mClock.millis());
+        }
         boolean cannotRead =
-                !hasNewerOwner(query)
+                !query.holdings().isEmpty()
+                        && !hasNewerOwner(query)
                         && mLiveness.promiseOutage(mClock.millis(), mSettings.staleMillis());
-        byte[] answer = MessageCodec.encode(new TableStatusQuery.Answer(cannotRead));
-        return CompletableFuture.completedFuture(answer);
+        TableStatusQuery.Answer answer = new TableStatusQuery.Answer(cannotRead, mRivals.all());
+        return CompletableFuture.completedFuture(MessageCodec.encode(answer));
     }
 
     private boolean hasNewerOwner(TableStatusQuery query) {
         boolean replaced =
-                mView.daemon(query.name())
+                mView.daemon(query.asker().name())
                         .exists(row -> !row.incarnation().equals(query.incarnation()));
         return replaced || query.holdings().stream().anyMatch(this::isNewerEpochKnown);
     }
@@ -210,39 +278,13 @@
         mLiveness.readSucceeded(startMillis, endMillis, view.daemonVersions());
         mView = view;
         mLive = view.daemons().stream().filter(d -> !mLiveness.isDead(d.name())).toList();
+        mRivals.read(startMillis, rivals());
         view.config().peek(row -> mConfigListeners.forEach(listener -> listener.accept(row)));
         mKeeper.dropLost(view);
         if (!mStopping) {
             mKeeper.adoptGiven(view);
-            claim(view, endMillis);
-        }
-    }
-
-    private void claim(CellView view, long nowMillis) {
-        boolean isListed =
-                view.daemon(mSelf.name())
-                        .exists(row -> row.incarnation().equals(mSelf.incarnation()));
-        if (!isListed) {
-            return;
-        }
-        if (mOwnRowSeenMillis == Long.MIN_VALUE) {
-            mOwnRowSeenMillis = nowMillis;
-        }
-        List<ShardRow> shards = withNewShards(view);
-        Map<String, DaemonRow> plan = OwnershipPlanner.plan(shards, candidates(true));
-        // An older incarnation may act for that long after its last group.
-        boolean mayTakeBack = nowMillis - mOwnRowSeenMillis >= mSettings.confirmMillis();
-        for (ShardRow row : shards) {
-            boolean isPlanned =
-                    Option.of(plan.get(row.shard())).exists(d -> d.name().equals(mSelf.name()));
-            if (!mKeeper.isIdle(row.shard())) {
-                continue;
-            }
-            if (isPlanned) {
-                mKeeper.takeOver(row, view);
-            } else if (row.owner().equals(mSelf.name()) && mayTakeBack) {
-                mKeeper.takeBack(row, view);
-            }
+            mClaims.run(view, candidates(true));
+            mOldRows.deleteFrom(view, mLive);
         }
     }
 
@@ -253,16 +295,12 @@
                 .toList();
     }
 
-    private List<ShardRow> withNewShards(CellView view) {
-        List<ShardRow> shards = new ArrayList<>(view.shards());
-        for (String name : mHosts.shards()) {
-            if (view.shard(name).isEmpty()) {
-                String region =
-                        mHosts.hostsOf(name).stream().map(HostInfo::region).findFirst().orElse("");
-                shards.add(new ShardRow(name, region, "", "", "", 0, "", 0));
-            }
-        }
-        return shards;
+    private List<RivalSet.Rival> rivals() {
+        return mLive.stream()
+                .filter(daemon -> !daemon.name().equals(mSelf.name()))
+                .filter(daemon -> daemon.region().equals(mSelf.region()))
+                .map(daemon -> new RivalSet.Rival(daemon.name(), daemon.peerAddress()))
+                .toList();
     }
 
     private void work() {
@@ -275,11 +313,10 @@
                 mKeeper.holdings().stream()
                         .filter(h -> h.row().region().equals(mSelf.region()))
                         .toList();
-        List<DaemonRow> rivals =
-                mLive.stream()
-                        .filter(daemon -> !daemon.name().equals(mSelf.name()))
-                        .filter(daemon -> daemon.region().equals(mSelf.region()))
-                        .toList();
-        mInquiry.ask(holdings, rivals);
+        mInquiry.ask(holdings);
+    }
+
+    ShardKeeper keeper() {
+        return mKeeper;
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/ShardKeeper.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/ShardKeeper.java
@@ -41,8 +41,8 @@
     private final OwnedShard.Factory mFactory;
     private final LivenessView mLiveness;
     private final MonotonicClock mClock;
-    private final TaskThread mPoll;
-    private final TaskThread mWork;
+    private final Tasks mPoll;
+    private final Tasks mWork;
     private final Map<String, ShardHolding> mHoldings = new ConcurrentHashMap<>();
     private final Set<String> mClaims = new HashSet<>();
 
@@ -55,8 +55,8 @@
             OwnedShard.Factory factory,
             LivenessView liveness,
             MonotonicClock clock,
-            TaskThread poll,
-            TaskThread work) {
+            Tasks poll,
+            Tasks work) {
         mSettings = settings;
         mSelf = self;
         mWriter = writer;
@@ -95,8 +95,7 @@
                             && row.incarnation().equals(mSelf.incarnation());
             if (isOurs && isIdle(row.shard())) {
                 long version = view.version(CellKeys.shard(row.shard()));
-                mClaims.add(row.shard());
-                confirmAdoption(row, version);
+                adopt(row, version, Option.none());
             }
         }
     }
@@ -154,26 +153,42 @@
 
     private void settle(ShardRow row, Either<TableError, Committed> result, Runnable afterwards) {
         try {
-            claimed(ownedBy(row, mSelf), result);
+            claimed(ownedBy(row, mSelf), result, Option.none());
         } finally {
             // Only now that the holding is known may a peer be told that nothing is under way.
             afterwards.run();
         }
     }
 
-    // A row that names this daemon is confirmed by a group before anything is done under it.
-    private void confirmAdoption(ShardRow row, long version) {
+    /** Adopts a shard whose row names this daemon, unless it did so already. */
+    void adopt(ShardRow row, long version, Option<RecoveredShard> history) {
+        if (!isIdle(row.shard())) {
+            return;
+        }
+        mClaims.add(row.shard());
+        // The row is confirmed by a group before anything is done under it.
         Transaction check = Transaction.create().check(CellKeys.shard(row.shard()), version);
         CompletableFuture<Void> unused =
                 mCommits.submit(() -> check, mSettings.pollMillis(), committed -> {})
-                        .thenAccept(result -> mPoll.execute(() -> adopted(row, version, result)));
+                        .thenAccept(
+                                result ->
+                                        mPoll.execute(
+                                                () -> adopted(row, version, history, result)));
     }
 
-    private void adopted(ShardRow row, long version, Either<TableError, Committed> result) {
-        claimed(row, result.map(checked -> new Committed(version, checked.startedMillis())));
+    private void adopted(
+            ShardRow row,
+            long version,
+            Option<RecoveredShard> history,
+            Either<TableError, Committed> result) {
+        claimed(
+                row,
+                result.map(checked -> new Committed(version, checked.startedMillis())),
+                history);
     }
 
-    private void claimed(ShardRow row, Either<TableError, Committed> result) {
+    private void claimed(
+            ShardRow row, Either<TableError, Committed> result, Option<RecoveredShard> history) {
         mClaims.remove(row.shard());
         if (result.isLeft()) {
             return;
@@ -194,7 +209,8 @@
         mHoldings.put(row.shard(), holding);
         LOG.log(System.Logger.Level.INFO, "owns shard {0} epoch {1}", row.shard(), row.epoch());
         journal.open();
-        mWork.execute(() -> recover(holding));
+        history.peek(known -> open(holding, known))
+                .onEmpty(() -> mWork.execute(() -> recover(holding)));
     }
 
     private void recover(ShardHolding holding) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/Snapshots.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/Snapshots.java
@@ -18,7 +18,7 @@
 
 /** Writes a snapshot of each shard after a number of journal rows, and deletes these rows. */
 final class Snapshots {
-    private static final int ROWS_PER_DELETE = 50;
+    private static final int ROWS_PER_DELETE = 10;
 
     private final SnapshotStore mStore;
     private final ObjectStore mObjects;
@@ -94,12 +94,19 @@
             // One that cannot be deleted now is only space that stays in use.
             mObjects.delete(oldKey);
         }
-        List<String> rowKeys = snapshot.rowKeys();
-        for (int first = 0; first < rowKeys.size(); first += ROWS_PER_DELETE) {
-            Transaction deletes = Transaction.create();
-            int end = Math.min(first + ROWS_PER_DELETE, rowKeys.size());
-            rowKeys.subList(first, end).forEach(deletes::delete);
-            CompletableFuture<Either<TableError, Boolean>> unused = mCommits.commit(deletes, 0);
+        delete(snapshot.rowKeys());
+    }
+
+    // A few rows at a time, so that they don't use up the budget of the journal.
+    private void delete(List<String> rowKeys) {
+        if (rowKeys.isEmpty()) {
+            return;
         }
+        int count = Math.min(ROWS_PER_DELETE, rowKeys.size());
+        Transaction deletes = Transaction.create();
+        rowKeys.subList(0, count).forEach(deletes::delete);
+        List<String> rest = rowKeys.subList(count, rowKeys.size());
+        CompletableFuture<Void> unused =
+                mCommits.commit(deletes, 0).thenAcceptAsync(done -> delete(rest), mWork);
     }
 }
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/TableCounters.java
@@ -0,0 +1,69 @@
+package org.hyssoprouter.daemon.ownership;
+
+import io.vavr.control.Either;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.atomic.LongAdder;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.transport.Row;
+import org.hyssoprouter.transport.TableService;
+import org.hyssoprouter.transport.Transaction;
+
+/**
+ * Counts what this daemon asks of the table service.
+ *
+ * @since 0.1
+ */
+public final class TableCounters implements TableService {
+    /**
+     * Totals since the start.
+     *
+     * @param reads reads and scans
+     * @param commits transactions sent
+     * @param rowsWritten rows in these transactions
+     * @param failures calls of any kind that failed, conflicts included
+     */
+    public record Totals(long reads, long commits, long rowsWritten, long failures) {}
+
+    private final TableService mTable;
+    private final LongAdder mReads = new LongAdder();
+    private final LongAdder mCommits = new LongAdder();
+    private final LongAdder mRowsWritten = new LongAdder();
+    private final LongAdder mFailures = new LongAdder();
+
+    /** Creates counters in front of a table. */
+    public TableCounters(TableService table) {
+        mTable = table;
+    }
+
+    /** Returns the totals. */
+    public Totals totals() {
+        return new Totals(mReads.sum(), mCommits.sum(), mRowsWritten.sum(), mFailures.sum());
+    }
+
+    @Override
+    public Either<TableError, List<Row>> read(Collection<String> keys) {
+        mReads.increment();
+        return counted(mTable.read(keys));
+    }
+
+    @Override
+    public Either<TableError, List<Row>> scan(String prefix) {
+        mReads.increment();
+        return counted(mTable.scan(prefix));
+    }
+
+    @Override
+    public Either<TableError, Long> commit(Transaction transaction) {
+        mCommits.increment();
+        mRowsWritten.add(transaction.writes().size());
+        return counted(mTable.commit(transaction));
+    }
+
+    private <T> Either<TableError, T> counted(Either<TableError, T> result) {
+        if (result.isLeft()) {
+            mFailures.increment();
+        }
+        return result;
+    }
+}
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/TaskThread.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/TaskThread.java
@@ -1,6 +1,5 @@
 package org.hyssoprouter.daemon.ownership;
 
-import java.util.concurrent.Executor;
 import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledExecutorService;
@@ -8,7 +7,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** One thread that runs tasks one after the other and logs those that fail. */
-final class TaskThread implements Executor {
+final class TaskThread implements Tasks {
     private static final System.Logger LOG = System.getLogger(TaskThread.class.getName());
 
     private final ScheduledExecutorService mExecutor;
@@ -28,8 +27,8 @@
         later(task, 0);
     }
 
-    /** Runs a task after a delay; drops it once the thread was told to stop. */
-    void later(Runnable task, long delayMillis) {
+    @Override
+    public void later(Runnable task, long delayMillis) {
         try {
             ScheduledFuture<?> unused =
                     mExecutor.schedule(guard(task), delayMillis, TimeUnit.MILLISECONDS);
@@ -38,20 +37,20 @@
         }
     }
 
-    /** Runs a task now and again and again, with that time between two runs. */
-    void repeat(Runnable task, long pauseMillis) {
+    @Override
+    public void repeat(Runnable task, long pauseMillis) {
         ScheduledFuture<?> unused =
                 mExecutor.scheduleWithFixedDelay(
                         guard(task), 0, pauseMillis, TimeUnit.MILLISECONDS);
     }
 
-    /** Drops what waits and interrupts what runs. */
-    void stopNow() {
+    @Override
+    public void stopNow() {
         mExecutor.shutdownNow();
     }
 
-    /** Finishes what is due now, drops repeated tasks, and waits for the end. */
-    void stop(long withinMillis) {
+    @Override
+    public void stop(long withinMillis) {
         mExecutor.shutdown();
         try {
             if (!mExecutor.awaitTermination(withinMillis, TimeUnit.MILLISECONDS)) {
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipModelTest.java
@@ -0,0 +1,13 @@
+package org.hyssoprouter.daemon.ownership;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** Daemons on simulated time under random faults; see {@link SimulatedCell} for what must hold. */
+final class OwnershipModelTest {
+    @Property(seed = "7301", tries = 150, shrinking = ShrinkingMode.OFF)
+    void oneOwnerMayActAndAcknowledgedEventsStay(@ForAll long seed) {
+        new SimulatedCell(seed).run();
+    }
+}
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipServiceTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipServiceTest.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.internal.journal.GroupSettings;
 import org.hyssoprouter.internal.journal.ShardEvent;
@@ -20,6 +21,7 @@
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.transport.FakeTable;
+import org.hyssoprouter.transport.PeerCallType;
 import org.hyssoprouter.transport.PeerTransport;
 import org.hyssoprouter.util.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
@@ -29,6 +31,7 @@
     private static final OwnershipSettings SETTINGS =
             new OwnershipSettings(50, 300, 150, 80, 5, new GroupSettings(5, 50, 10, 5000));
 
+    private final AtomicInteger mOffers = new AtomicInteger();
     private final FakeTable mTable = new FakeTable();
     private final Map<String, OwnershipService> mDaemons = new ConcurrentHashMap<>();
     private final List<OwnershipService> mAll = new ArrayList<>();
@@ -99,6 +102,20 @@
         assertTrue(first.handOver().join());
         assertEquals(drains(0, 3), awaitShard(second).snapshotEvents());
         assertTrue(first.owned("d1").isEmpty());
+        assertEquals(1, mOffers.get());
+    }
+
+    @Test
+    void twoDaemonsThatStopAtOnceLeaveTheShardToTheThird() {
+        OwnershipService first = start("a", "1");
+        append(awaitShard(first), drains(0, 3));
+        OwnershipService second = start("b", "1");
+        OwnershipService third = start("c", "1");
+        await().until(() -> first.liveDaemons().size() == 3 && second.liveDaemons().size() == 3);
+        CompletableFuture<Boolean> both =
+                second.handOver().thenCombine(first.handOver(), Boolean::logicalAnd);
+        assertTrue(both.join());
+        assertEquals(drains(0, 3), awaitShard(third).snapshotEvents());
     }
 
     @Test
@@ -130,7 +147,10 @@
                 return CompletableFuture.completedFuture(
                         Either.left(CallError.notRun(CallError.Kind.UNREACHABLE, address)));
             }
-            return peer.onTableStatus(payload).thenApply(Either::right);
+            boolean isOffer = type == PeerCallType.HANDOVER.number();
+            mOffers.addAndGet(isOffer ? 1 : 0);
+            return (isOffer ? peer.onHandover(payload) : peer.onTableStatus(payload))
+                    .thenApply(Either::right);
         }
     }
 }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/RecordingShard.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/RecordingShard.java
@@ -1,8 +1,8 @@
 package org.hyssoprouter.daemon.ownership;
 
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import org.hyssoprouter.internal.journal.ShardEvent;
 import org.hyssoprouter.internal.ownership.OwnedShard;
 import org.hyssoprouter.internal.ownership.ShardContext;
@@ -14,8 +14,17 @@
     volatile boolean mStarted;
 
     RecordingShard(ShardContext context, List<ShardEvent> history) {
-        mContext = context;
-        mHistory = new ArrayList<>(history);
+        mHistory = new CopyOnWriteArrayList<>(history);
+        mContext =
+                new ShardContext(
+                        context.shard(),
+                        context.region(),
+                        context.epoch(),
+                        (events, within) ->
+                                context.log()
+                                        .append(events, within)
+                                        .thenApply(r -> r.peek(done -> mHistory.addAll(events))),
+                        context.right());
     }
 
     @Override
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/SimulatedTable.java
@@ -0,0 +1,80 @@
+package org.hyssoprouter.daemon.ownership;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.Collection;
+import java.util.List;
+import java.util.Random;
+import java.util.function.BooleanSupplier;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.transport.FakeTable;
+import org.hyssoprouter.transport.FakeTable.Fault;
+import org.hyssoprouter.transport.ObjectStore;
+import org.hyssoprouter.transport.Row;
+import org.hyssoprouter.transport.TableService;
+import org.hyssoprouter.transport.Transaction;
+
+/** The table as one daemon sees it: calls take simulated time, and fail at random. */
+record SimulatedTable(
+        FakeTable table,
+        Random random,
+        SimulatedTime time,
+        BooleanSupplier isCutOff,
+        BooleanSupplier isSlow,
+        LongSupplier frozenUntilMillis,
+        BooleanSupplier isCalm)
+        implements TableService, ObjectStore {
+
+    private <T> Either<TableError, T> call(Supplier<Either<TableError, T>> operation) {
+        pause();
+        if (isCutOff.getAsBoolean()) {
+            return Either.left(TableError.unavailable("cut off"));
+        }
+        Either<TableError, T> result = operation.get();
+        pause();
+        return result;
+    }
+
+    private void pause() {
+        int boundMillis = isSlow.getAsBoolean() ? 1500 : 20;
+        time.runUntil(time.millis() + random.nextInt(boundMillis));
+        while (time.millis() < frozenUntilMillis.getAsLong()) {
+            time.runUntil(frozenUntilMillis.getAsLong());
+        }
+    }
+
+    @Override
+    public Either<TableError, List<Row>> read(Collection<String> keys) {
+        return call(() -> table.read(keys));
+    }
+
+    @Override
+    public Either<TableError, List<Row>> scan(String prefix) {
+        return call(() -> table.scan(prefix));
+    }
+
+    @Override
+    public Either<TableError, Long> commit(Transaction transaction) {
+        boolean isFault = !isCalm.getAsBoolean() && random.nextInt(100) < 15;
+        Fault[] faults = Fault.values();
+        Fault fault = isFault ? faults[random.nextInt(faults.length)] : Fault.NONE;
+        return call(() -> table.commit(transaction, fault));
+    }
+
+    @Override
+    public Either<TableError, Boolean> put(String key, byte[] content) {
+        return call(() -> table.put(key, content));
+    }
+
+    @Override
+    public Either<TableError, Option<byte[]>> get(String key) {
+        return call(() -> table.get(key));
+    }
+
+    @Override
+    public Either<TableError, Boolean> delete(String key) {
+        return call(() -> table.delete(key));
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/SimulatedTime.java
@@ -0,0 +1,166 @@
+package org.hyssoprouter.daemon.ownership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
+import org.hyssoprouter.internal.journal.GroupWriter;
+import org.hyssoprouter.util.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Runs the threads of several daemons one task at a time on a simulated clock. A task that waits
+ * (for the table, or because its daemon is frozen) lets the others run in the meantime.
+ */
+final class SimulatedTime {
+    private final List<SimulatedThread> mThreads = new ArrayList<>();
+    private final Runnable mAfterEachTask;
+    private long mNowMillis;
+    private long mSequence;
+
+    SimulatedTime(Runnable afterEachTask) {
+        mAfterEachTask = afterEachTask;
+    }
+
+    long millis() {
+        return mNowMillis;
+    }
+
+    /** Returns threads that run only while the condition holds. */
+    Threads threads(BooleanSupplier canRun) {
+        return new Threads() {
+            @Override
+            public Tasks tasks(String name) {
+                return newThread(canRun);
+            }
+
+            @Override
+            public Service writer(GroupWriter writer) {
+                return new SteppedWriter(newThread(canRun), writer);
+            }
+        };
+    }
+
+    SimulatedThread newThread(BooleanSupplier canRun) {
+        SimulatedThread thread = new SimulatedThread(canRun);
+        mThreads.add(thread);
+        return thread;
+    }
+
+    void remove(BooleanSupplier canRun) {
+        mThreads.removeIf(thread -> thread.mCanRun == canRun);
+    }
+
+    /** Runs everything that is due until that time. */
+    void runUntil(long untilMillis) {
+        SimulatedThread next = next(untilMillis);
+        while (next != null) {
+            next.runOne();
+            mAfterEachTask.run();
+            next = next(untilMillis);
+        }
+        mNowMillis = Math.max(mNowMillis, untilMillis);
+    }
+
+    private @Nullable SimulatedThread next(long untilMillis) {
+        return mThreads.stream()
+                .filter(thread -> thread.isDue(untilMillis))
+                .min(Comparator.comparing(SimulatedThread::dueMillis))
+                .orElse(null);
+    }
+
+    private record Task(long atMillis, long sequence, Runnable body) {}
+
+    /** Thread of the simulation. */
+    final class SimulatedThread implements Tasks {
+        private final PriorityQueue<Task> mTasks =
+                new PriorityQueue<>(
+                        Comparator.comparingLong(Task::atMillis).thenComparing(Task::sequence));
+        private final BooleanSupplier mCanRun;
+        private boolean mBusy;
+        private boolean mStopped;
+
+        SimulatedThread(BooleanSupplier canRun) {
+            mCanRun = canRun;
+        }
+
+        private boolean isDue(long untilMillis) {
+            return !mBusy
+                    && !mTasks.isEmpty()
+                    && dueMillis() <= untilMillis
+                    && mCanRun.getAsBoolean();
+        }
+
+        private long dueMillis() {
+            return mTasks.element().atMillis();
+        }
+
+        private void runOne() {
+            Task task = mTasks.remove();
+            mNowMillis = Math.max(mNowMillis, task.atMillis());
+            mBusy = true;
+            task.body().run();
+            mBusy = false;
+        }
+
+        @Override
+        public void execute(Runnable task) {
+            later(task, 0);
+        }
+
+        @Override
+        public void later(Runnable task, long delayMillis) {
+            if (!mStopped) {
+                mTasks.add(new Task(mNowMillis + delayMillis, mSequence++, task));
+            }
+        }
+
+        @Override
+        public void repeat(Runnable task, long pauseMillis) {
+            Runnable again =
+                    () -> {
+                        task.run();
+                        repeatLater(task, pauseMillis);
+                    };
+            execute(again);
+        }
+
+        private void repeatLater(Runnable task, long pauseMillis) {
+            later(
+                    () -> {
+                        task.run();
+                        repeatLater(task, pauseMillis);
+                    },
+                    pauseMillis);
+        }
+
+        @Override
+        public void stopNow() {
+            mStopped = true;
+            mTasks.clear();
+        }
+
+        @Override
+        public void stop(long withinMillis) {
+            stopNow();
+        }
+    }
+
+    private record SteppedWriter(SimulatedThread thread, GroupWriter writer) implements Service {
+        @Override
+        public void start() {
+            thread.execute(this::step);
+        }
+
+        private void step() {
+            // A signal is seen at the next of these short steps.
+            thread.later(this::step, Math.max(1, Math.min(10, writer.step())));
+        }
+
+        @Override
+        public void stop() {
+            thread.stopNow();
+        }
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/EventList.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/EventList.java
@@ -9,14 +9,21 @@
  * Content of a journal row and of a snapshot.
  *
  * @param events encoded events, in order
+ * @since 0.1
  */
-record EventList(List<byte[]> events) {
-    static byte[] encode(List<ShardEvent> events) {
+public record EventList(List<byte[]> events) {
+    /** Encodes events. */
+    public static byte[] encode(List<ShardEvent> events) {
         return MessageCodec.encode(
                 new EventList(events.stream().map(MessageCodec::encode).toList()));
     }
 
-    static List<ShardEvent> decode(byte[] bytes) throws IOException {
+    /**
+     * Decodes events.
+     *
+     * @throws IOException if the bytes are not of that form
+     */
+    public static List<ShardEvent> decode(byte[] bytes) throws IOException {
         List<ShardEvent> events = new ArrayList<>();
         for (byte[] event : MessageCodec.decode(bytes, EventList.class).events()) {
             events.add(MessageCodec.decode(event, ShardEvent.class));
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/GroupWriter.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/GroupWriter.java
@@ -114,12 +114,14 @@
     }
 
     private long waitMillis(long nowMillis) {
-        long dueMillis = mLastCommitMillis + mSettings.heartbeatMillis();
+        // The heartbeat is not held back by the budget: without it the shards would be lost.
+        long beatMillis = mLastCommitMillis + mSettings.heartbeatMillis() - nowMillis;
         long since = mWorkSinceMillis.get();
-        if (since != NO_WORK || !mDeferred.isEmpty()) {
-            dueMillis = Math.min(dueMillis, Math.max(since, 0) + mSettings.groupMillis());
+        if (since == NO_WORK && mDeferred.isEmpty()) {
+            return beatMillis;
         }
-        return Math.max(dueMillis - nowMillis, mBudget.waitMillis(nowMillis));
+        long workMillis = Math.max(since, 0) + mSettings.groupMillis() - nowMillis;
+        return Math.min(beatMillis, Math.max(workMillis, mBudget.waitMillis(nowMillis)));
     }
 
     private long readOwnVersion() {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/ownership/LivenessView.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/ownership/LivenessView.java
@@ -68,12 +68,16 @@
 
     /** Returns whether a daemon is dead; one without a row is, once enough time was covered. */
     public synchronized boolean isDead(String name) {
+        return silentMillis(name) >= mDeadAfterMillis;
+    }
+
+    /** Returns for how long unbroken reads have shown the same row of a daemon, or none of it. */
+    public synchronized long silentMillis(String name) {
         if (!mCovered) {
-            return false;
+            return 0;
         }
         Seen seen = mSeen.get(name);
-        long sinceMillis = seen == null ? mCoveredSinceMillis : seen.sinceMillis();
-        return mLastStartMillis - sinceMillis >= mDeadAfterMillis;
+        return mLastStartMillis - (seen == null ? mCoveredSinceMillis : seen.sinceMillis());
     }
 
     /** Returns for how long the reads have been unbroken, in milliseconds. */
