Send each late answer of the HTTP API once

The server library rendered the value of the future that the handler returned, after the handler had already sent its answer. An HTTP client hides it. Change: AsyncHandler detaches the call, sends by itself and turns a failed future into an error answer. ApiConnectionTest reads the raw bytes of 20 calls on one connection.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/ApiServer.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/ApiServer.java
@@ -3,7 +3,6 @@
 import io.jooby.Context;
 import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
-import io.jooby.ReactiveSupport;
 import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
 import io.jooby.netty.NettyServer;
@@ -76,7 +75,6 @@
         Jooby app = new Jooby();
         app.setExecutionMode(ExecutionMode.EVENT_LOOP);
         app.setStartupSummary(List.of());
-        app.use(ReactiveSupport.concurrent());
         app.before(this::count);
         new RequestRoutes(mOptions, mServices).install(app);
         new OperatorRoutes(mOptions, mServices).install(app);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/AsyncHandler.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/AsyncHandler.java
@@ -3,9 +3,10 @@
 import io.jooby.Context;
 import io.jooby.Route;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
-/** Handler that answers when its future completes and holds no thread until then. */
+/** Handler that sends its answer when a future completes, and holds no thread until then. */
 final class AsyncHandler implements Route.Handler {
     private final Function<Context, CompletableFuture<Context>> mCall;
 
@@ -13,10 +14,26 @@
         mCall = call;
     }
 
-    // The server library subscribes to a future that a handler returns, its failure included.
     @Override
-    @SuppressWarnings("FutureReturnValueIgnored")
-    public Object apply(Context context) {
-        return mCall.apply(context);
+    public Object apply(Context context) throws Exception {
+        return context.detach(this::answerLater);
+    }
+
+    // The future is not returned: the server library would send its value as a second answer.
+    private Object answerLater(Context context) {
+        CompletableFuture<Context> unused =
+                mCall.apply(context)
+                        .whenComplete(
+                                (sent, failure) -> {
+                                    if (failure != null) {
+                                        context.sendError(causeOf(failure));
+                                    }
+                                });
+        return context;
+    }
+
+    private static Throwable causeOf(Throwable failure) {
+        Throwable cause = failure.getCause();
+        return failure instanceof CompletionException && cause != null ? cause : failure;
     }
 }
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/http/ApiConnectionTest.java
@@ -0,0 +1,110 @@
+package org.hyssoprouter.daemon.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import org.hyssoprouter.transport.RequestReply;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Reads raw connections, since an HTTP client hides what follows an answer. */
+class ApiConnectionTest {
+    private static final Pattern HEAD = Pattern.compile("HTTP/1\\.1 (\\d+)");
+    private static final int REQUESTS = 20;
+
+    private final FakeServices mFake = new FakeServices();
+    private ApiServer mServer;
+    private int mPort;
+
+    @BeforeEach
+    void setUp() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            mPort = socket.getLocalPort();
+        }
+        ApiOptions options = new ApiOptions("127.0.0.1", mPort, "not-a-secret", 9_000, 1, "e1-x");
+        mServer = new ApiServer(options, mFake.services());
+        mServer.start();
+    }
+
+    @AfterEach
+    void tearDown() {
+        mServer.stop();
+    }
+
+    @Test
+    void lateAnswersAreSentOnceEach() throws IOException {
+        Executor later = CompletableFuture.delayedExecutor(2, TimeUnit.MILLISECONDS);
+        byte[] body = "answer\n".getBytes(StandardCharsets.UTF_8);
+        String all = exchange(() -> replyLater(later, body), post("hello"));
+        assertEquals(statuses(200), HEAD.matcher(all).results().map(m -> m.group(1)).toList());
+        assertEquals(REQUESTS, all.split("\r\n\r\nanswer\n", -1).length - 1);
+    }
+
+    @Test
+    void refusalsAndFailuresAreSentOnceEach() throws IOException {
+        String refused = exchange(() -> {}, post("hello").replace("guild", "nobody"));
+        assertEquals(statuses(404), HEAD.matcher(refused).results().map(m -> m.group(1)).toList());
+        IllegalStateException failure = new IllegalStateException("broken");
+        String failed =
+                exchange(() -> mFake.mReply = CompletableFuture.failedFuture(failure), post("x"));
+        assertEquals(statuses(502), HEAD.matcher(failed).results().map(m -> m.group(1)).toList());
+    }
+
+    private void replyLater(Executor later, byte[] body) {
+        mFake.mReply = CompletableFuture.supplyAsync(() -> RequestReply.ran(200, body), later);
+    }
+
+    /** Sends the same request again and again on one connection; returns all bytes received. */
+    private String exchange(Runnable before, String request) throws IOException {
+        StringBuilder all = new StringBuilder();
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mPort)) {
+            for (int i = 0; i < REQUESTS; i++) {
+                before.run();
+                boolean isLast = i == REQUESTS - 1;
+                String text = isLast ? request.replace("keep-alive", "close") : request;
+                socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
+                if (!isLast) {
+                    all.append(readOne(socket));
+                }
+            }
+            byte[] rest = socket.getInputStream().readAllBytes();
+            all.append(new String(rest, StandardCharsets.UTF_8));
+        }
+        return all.toString();
+    }
+
+    private static String readOne(Socket socket) throws IOException {
+        StringBuilder head = new StringBuilder();
+        while (head.indexOf("\r\n\r\n") < 0) {
+            head.append((char) socket.getInputStream().read());
+        }
+        String lower = head.toString().toLowerCase(Locale.ROOT);
+        String length = lower.replaceAll("(?s).*content-length: (\\d+).*", "$1");
+        byte[] body = socket.getInputStream().readNBytes(Integer.parseInt(length));
+        return head + new String(body, StandardCharsets.UTF_8);
+    }
+
+    private static String post(String body) {
+        return "POST /v1/requests/booking HTTP/1.1\r\nHost: x\r\nHyssop-Customer: guild\r\n"
+                + "Connection: keep-alive\r\nContent-Length: "
+                + body.length()
+                + "\r\n\r\n"
+                + body;
+    }
+
+    private static List<String> statuses(int status) {
+        return Collections.nCopies(REQUESTS, Integer.toString(status));
+    }
+}
