Add the command line, its scripts and the pages for users and developers

Cause: operators need a tool and everybody a first page. Change: hyssop has a command class for each operation with setters and call(), tables or JSON, exit codes that tell 'nothing was sent', 'nothing was changed' and 'may have been done' apart, hints on standard error, help on each command and the completion of bash.

--- /dev/null
+++ b/org.hyssoprouter.pgm/src/main/java/org/hyssoprouter/pgm/ApiClient.java
@@ -0,0 +1,135 @@
+package org.hyssoprouter.pgm;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.SocketTimeoutException;
+import java.time.Duration;
+import java.util.List;
+import okhttp3.MediaType;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Speaks the HTTP API of the daemons. The next server is tried only when nothing was sent to the
+ * former one.
+ *
+ * @since 0.1
+ */
+public final class ApiClient {
+    private static final ObjectMapper JSON = new ObjectMapper();
+    private static final MediaType JSON_TYPE = MediaType.get("application/json");
+    private static final int FIRST_ERROR_STATUS = 400;
+
+    private final OkHttpClient mHttp;
+    private final List<String> mServers;
+    private final String mToken;
+
+    /**
+     * Creates a client.
+     *
+     * @param servers {@code ip:port} of daemons, in the order in which they are tried
+     * @param token operators' token
+     * @param timeoutMillis time for one call
+     */
+    public ApiClient(List<String> servers, String token, long timeoutMillis) {
+        mServers = List.copyOf(servers);
+        mToken = token;
+        mHttp =
+                new OkHttpClient.Builder()
+                        .callTimeout(Duration.ofMillis(timeoutMillis))
+                        .readTimeout(Duration.ofMillis(timeoutMillis))
+                        .retryOnConnectionFailure(false)
+                        .build();
+    }
+
+    /** Returns the answer to a GET call. */
+    public Either<CliError, ApiReply> get(String path) {
+        return send("GET", path, null);
+    }
+
+    /** Returns the answer to a call that changes something. */
+    public Either<CliError, ApiReply> send(String method, String path, @Nullable JsonNode body) {
+        CliError last = CliError.of(ExitCode.USAGE, Messages.text("usage.server"), "hint.server");
+        for (String server : mServers) {
+            Either<CliError, ApiReply> result = sendTo(server, method, path, body);
+            if (result.isRight() || result.getLeft().exitCode() != ExitCode.UNREACHABLE) {
+                return result;
+            }
+            last = result.getLeft();
+        }
+        return Either.left(last);
+    }
+
+    /** Frees connections and threads. */
+    public void close() {
+        mHttp.dispatcher().executorService().shutdown();
+        mHttp.connectionPool().evictAll();
+    }
+
+    private Either<CliError, ApiReply> sendTo(
+            String server, String method, String path, @Nullable JsonNode body) {
+        Request request;
+        try {
+            request =
+                    new Request.Builder()
+                            .url("http://" + server + path)
+                            .header("Authorization", "Bearer " + mToken)
+                            .method(method, content(method, body))
+                            .build();
+        } catch (IllegalArgumentException e) {
+            String message = Messages.text("server.address", server);
+            return Either.left(CliError.of(ExitCode.USAGE, message, "hint.server"));
+        }
+        try (Response response = mHttp.newCall(request).execute()) {
+            return read(server, response);
+        } catch (IOException e) {
+            return Either.left(failure(server, e));
+        }
+    }
+
+    private static @Nullable RequestBody content(String method, @Nullable JsonNode body) {
+        if (body != null) {
+            return RequestBody.create(body.toString(), JSON_TYPE);
+        }
+        boolean needsBody = method.equals("POST") || method.equals("PUT");
+        return needsBody ? RequestBody.create(new byte[0], JSON_TYPE) : null;
+    }
+
+    private static Either<CliError, ApiReply> read(String server, Response response)
+            throws IOException {
+        JsonNode body;
+        byte[] bytes = response.body().bytes();
+        try {
+            body = JSON.readTree(bytes);
+        } catch (JsonProcessingException e) {
+            String message = Messages.text("server.malformed", server, response.code());
+            return Either.left(CliError.of(ExitCode.UNKNOWN, message, "hint.lost"));
+        }
+        if (response.code() >= FIRST_ERROR_STATUS) {
+            return Either.left(RefusalText.of(body));
+        }
+        return Either.right(new ApiReply(response.code(), body));
+    }
+
+    private static CliError failure(String server, IOException e) {
+        boolean isUnsent =
+                e instanceof ConnectException
+                        || e instanceof NoRouteToHostException
+                        || (e instanceof SocketTimeoutException
+                                && String.valueOf(e.getMessage()).contains("connect"));
+        if (isUnsent) {
+            String message = Messages.text("server.unreachable", server);
+            return CliError.of(ExitCode.UNREACHABLE, message, "hint.unreachable");
+        }
+        String message = Messages.text("server.lost", server, e.getClass().getSimpleName());
+        return CliError.of(ExitCode.UNKNOWN, message, "hint.lost");
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.pgm/src/main/java/org/hyssoprouter/pgm/ExplainCommand.java
@@ -0,0 +1,28 @@
+package org.hyssoprouter.pgm;
+
+import io.vavr.control.Either;
+
+/**
+ * Says why a job is where it is.
+ *
+ * @since 0.1
+ */
+public final class ExplainCommand extends ApiCommand {
+    private String mId = "";
+
+    /** Creates the command for a cell. */
+    public ExplainCommand(ApiClient client) {
+        super(client);
+    }
+
+    /** Sets the id of the job. */
+    public ExplainCommand setId(String id) {
+        mId = id;
+        return this;
+    }
+
+    @Override
+    public Either<CliError, ApiReply> call() {
+        return client().get("/v1/jobs/" + PathText.encode(mId) + "/explain");
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.pgm/src/main/java/org/hyssoprouter/pgm/ListCommand.java
@@ -0,0 +1,29 @@
+package org.hyssoprouter.pgm;
+
+import io.vavr.control.Either;
+
+/**
+ * Lists jobs.
+ *
+ * @since 0.1
+ */
+public final class ListCommand extends ApiCommand {
+    private String mCustomer = "";
+
+    /** Creates the command for a cell. */
+    public ListCommand(ApiClient client) {
+        super(client);
+    }
+
+    /** Lists only the jobs of a customer; empty means all. */
+    public ListCommand setCustomer(String customer) {
+        mCustomer = customer;
+        return this;
+    }
+
+    @Override
+    public Either<CliError, ApiReply> call() {
+        String query = mCustomer.isEmpty() ? "" : "?customer=" + PathText.encode(mCustomer);
+        return client().get("/v1/jobs" + query);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.pgm/src/main/java/org/hyssoprouter/pgm/OutputWriter.java
@@ -0,0 +1,84 @@
+package org.hyssoprouter.pgm;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.dataformat.yaml.YAMLFactory;
+import com.fasterxml.jackson.dataformat.yaml.YAMLGenerator;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Writes results as tables, YAML or JSON. */
+final class OutputWriter {
+    private static final ObjectMapper JSON = new JsonMapper();
+    private static final ObjectMapper YAML =
+            new ObjectMapper(
+                    YAMLFactory.builder()
+                            .disable(YAMLGenerator.Feature.WRITE_DOC_START_MARKER)
+                            .enable(YAMLGenerator.Feature.MINIMIZE_QUOTES)
+                            .build());
+    private static final String GAP = "  ";
+
+    private OutputWriter() {}
+
+    static String json(Output output) {
+        return write(JSON, output.json()) + "\n";
+    }
+
+    static String table(Output output) {
+        if (output.columns().isEmpty()) {
+            return write(YAML, output.json());
+        }
+        List<List<String>> lines = new ArrayList<>();
+        lines.add(output.columns().stream().map(Column::title).toList());
+        if (output.json().isArray()) {
+            output.json().forEach(row -> lines.add(cells(output.columns(), row)));
+        } else {
+            lines.add(cells(output.columns(), output.json()));
+        }
+        return aligned(lines, output.columns().size());
+    }
+
+    private static List<String> cells(List<Column> columns, JsonNode row) {
+        return columns.stream().map(column -> cell(row.at(column.pointer()))).toList();
+    }
+
+    private static String cell(JsonNode value) {
+        if (value.isMissingNode() || value.isNull()) {
+            return "-";
+        }
+        if (value.isArray()) {
+            return Integer.toString(value.size());
+        }
+        String text = value.isValueNode() ? value.asText() : value.toString();
+        return text.isEmpty() ? "-" : text.replaceAll("\\s+", " ");
+    }
+
+    private static String aligned(List<List<String>> lines, int columns) {
+        int[] widths = new int[columns];
+        for (List<String> line : lines) {
+            for (int i = 0; i < columns; i++) {
+                widths[i] = Math.max(widths[i], line.get(i).length());
+            }
+        }
+        StringBuilder text = new StringBuilder();
+        for (List<String> line : lines) {
+            StringBuilder row = new StringBuilder();
+            for (int i = 0; i < columns; i++) {
+                row.append(line.get(i)).append(" ".repeat(widths[i] - line.get(i).length()));
+                row.append(GAP);
+            }
+            text.append(row.toString().stripTrailing()).append('\n');
+        }
+        return text.toString();
+    }
+
+    private static String write(ObjectMapper mapper, JsonNode value) {
+        try {
+            return mapper.writeValueAsString(value);
+        } catch (JsonProcessingException e) {
+            throw new IllegalStateException("a parsed document can always be written", e);
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.pgm/src/main/java/org/hyssoprouter/pgm/PathText.java
@@ -0,0 +1,13 @@
+package org.hyssoprouter.pgm;
+
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** Encodes text for paths and queries. */
+final class PathText {
+    private PathText() {}
+
+    static String encode(String text) {
+        return URLEncoder.encode(text, StandardCharsets.UTF_8).replace("+", "%20");
+    }
+}
