Remove settings that nothing reads, and bound confirmMillis

Cause: leaseMillis, notAfterMillis and regionLinkBytesPerSecond were accepted and had no effect, and a confirmMillis above 2000 would outlast the settle time that a takeover waits. Change: the three keys are unknown keys now; confirmMillis is at most 2000. The test of the times that must fit together keeps its case and gains the new bound.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/DaemonSettings.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/DaemonSettings.java
@@ -31,10 +31,8 @@
      * @param deadAfterMillis without a change until a daemon counts as dead
      * @param confirmMillis up to which a confirmation of ownership holds
      * @param groupMillis for which journal events are gathered
-     * @param leaseMillis lease on a worker
-     * @param notAfterMillis from sending a start until a worker refuses it
      * @param platformTimeoutMillis timeout of a call to the platform
-     * @param workerTimeoutMillis timeout of a control call to a worker
+     * @param workerTimeoutMillis timeout of a control call to an executor
      * @param balancerSeconds from not ready until refusing
      * @param drainSeconds bound of a planned stop
      */
@@ -43,8 +41,6 @@
             long deadAfterMillis,
             long confirmMillis,
             long groupMillis,
-            long leaseMillis,
-            long notAfterMillis,
             long platformTimeoutMillis,
             long workerTimeoutMillis,
             int balancerSeconds,
@@ -54,15 +50,10 @@
      * Budgets and bounds.
      *
      * @param tableWritesPerSecond commits to the table
-     * @param regionLinkBytesPerSecond bytes to other regions
      * @param maxBodyBytes largest body of a call
      * @param httpThreads threads for HTTP
      */
-    public record Limits(
-            int tableWritesPerSecond,
-            long regionLinkBytesPerSecond,
-            int maxBodyBytes,
-            int httpThreads) {}
+    public record Limits(int tableWritesPerSecond, int maxBodyBytes, int httpThreads) {}
 
     /** Returns the settings without the operators' token, for logs. */
     @Override
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/Setting.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/Setting.java
@@ -26,22 +26,19 @@
     POLL_MILLIS("pollMillis", 1_000, 50, 10_000),
     /** Time without a change of its row after which a daemon counts as dead. */
     DEAD_AFTER_MILLIS("deadAfterMillis", 4_000, 200, 60_000),
-    /** Age of the last confirmation up to which an owner may act. */
-    CONFIRM_MILLIS("confirmMillis", 2_000, 100, 30_000),
+    /**
+     * Age of the last confirmation up to which an owner may act. Bounded, because who takes a shard
+     * over waits for the leases that an owner could still renew in that time.
+     */
+    CONFIRM_MILLIS("confirmMillis", 2_000, 100, 2_000),
     /** Time for which journal events are gathered into one commit. */
     GROUP_MILLIS("groupMillis", 20, 1, 1_000),
-    /** Lease of the tasks of a shard on a worker. */
-    LEASE_MILLIS("leaseMillis", 10_000, 500, 120_000),
-    /** Time after its sending up to which a worker may carry out a start. */
-    NOT_AFTER_MILLIS("notAfterMillis", 1_000, 50, 10_000),
     /** Timeout of one call to the platform. */
     PLATFORM_TIMEOUT_MILLIS("platformTimeoutMillis", 1_000, 50, 30_000),
-    /** Timeout of one control call to a worker. */
+    /** Timeout of one control call to an executor. */
     WORKER_TIMEOUT_MILLIS("workerTimeoutMillis", 2_000, 50, 30_000),
     /** Budget of table commits of this daemon. */
     TABLE_WRITES_PER_SECOND("tableWritesPerSecond", 25, 1, 10_000),
-    /** Budget of the link to other regions. */
-    REGION_LINK_BYTES_PER_SECOND("regionLinkBytesPerSecond", 250_000, 1_000, 1_000_000_000),
     /** Largest body of a call to the HTTP API. */
     MAX_BODY_BYTES("maxBodyBytes", 4_194_304, 1_024, 67_108_864),
     /** Threads that handle HTTP input and output. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/SettingsLoader.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/SettingsLoader.java
@@ -187,15 +187,12 @@
                         number(Setting.DEAD_AFTER_MILLIS),
                         number(Setting.CONFIRM_MILLIS),
                         number(Setting.GROUP_MILLIS),
-                        number(Setting.LEASE_MILLIS),
-                        number(Setting.NOT_AFTER_MILLIS),
                         number(Setting.PLATFORM_TIMEOUT_MILLIS),
                         number(Setting.WORKER_TIMEOUT_MILLIS),
                         (int) number(Setting.BALANCER_SECONDS),
                         (int) number(Setting.DRAIN_SECONDS)),
                 new DaemonSettings.Limits(
                         (int) number(Setting.TABLE_WRITES_PER_SECOND),
-                        number(Setting.REGION_LINK_BYTES_PER_SECOND),
                         (int) number(Setting.MAX_BODY_BYTES),
                         (int) number(Setting.HTTP_THREADS)));
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/settings/SettingsLoaderTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/settings/SettingsLoaderTest.java
@@ -40,7 +40,7 @@
                 platform: 127.0.0.1:7070
                 operatorToken: not-a-secret
                 pollMilis: 1
-                leaseMillis: -5
+                groupMillis: -5
                 drainSeconds: [1]
                 region: north
                 """;
@@ -53,14 +53,17 @@
                         "f: domain: is missing; expected 1 to 64 letters, digits, '.', '_' or '-'",
                         "f:3: http: expected an IP number and a port, such as 10.0.0.7:8080",
                         "f:4: peer: expected an IP number and a port, such as 10.0.0.7:8080",
-                        "f:8: leaseMillis: expected a whole number from 500 to 120000"),
+                        "f:8: groupMillis: expected a whole number from 1 to 1000"),
                 faults(text));
     }
 
     @Test
     void refusesTimesThatLetTwoOwnersAct() {
         assertEquals(
-                List.of("f:8: confirmMillis: expected at most half of deadAfterMillis"),
+                List.of("f: confirmMillis: expected at most half of deadAfterMillis"),
+                faults(GOOD + "deadAfterMillis: 3999\n"));
+        assertEquals(
+                List.of("f:8: confirmMillis: expected a whole number from 100 to 2000"),
                 faults(GOOD + "confirmMillis: 2001\n"));
     }
 
