--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/DaemonComponent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/DaemonComponent.java
@@ -1,9 +1,10 @@
 package org.hyssoprouter.daemon;
 
+import dagger.BindsInstance;
 import dagger.Component;
-import java.time.Clock;
 import javax.inject.Singleton;
-import org.hyssoprouter.util.MonotonicClock;
+import org.hyssoprouter.daemon.cell.CellModule;
+import org.hyssoprouter.daemon.settings.DaemonSettings;
 
 /**
  * Object graph of the daemon.
@@ -11,11 +12,15 @@
  * @since 0.1
  */
 @Singleton
-@Component(modules = ClockModule.class)
+@Component(modules = {ClockModule.class, TransportModule.class, CellModule.class})
 public interface DaemonComponent {
-    /** Returns the wall clock. */
-    Clock clock();
+    /** Returns the daemon, not yet started. */
+    Daemon daemon();
 
-    /** Returns the monotonic clock. */
-    MonotonicClock monotonicClock();
+    /** Creates the graph. */
+    @Component.Factory
+    interface Factory {
+        /** Creates the graph of a daemon with these settings. */
+        DaemonComponent create(@BindsInstance DaemonSettings settings);
+    }
 }
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/DaemonThreads.java
@@ -0,0 +1,18 @@
+package org.hyssoprouter.daemon;
+
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Names threads after their use, so that a thread dump can be read. */
+final class DaemonThreads {
+    private DaemonThreads() {}
+
+    static ThreadFactory named(String use) {
+        AtomicInteger count = new AtomicInteger();
+        return task -> {
+            Thread thread = new Thread(task, use + "-" + count.incrementAndGet());
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
@@ -0,0 +1,248 @@
+package org.hyssoprouter.daemon.cell;
+
+import dagger.Module;
+import dagger.Provides;
+import java.time.Clock;
+import java.util.UUID;
+import java.util.concurrent.ScheduledExecutorService;
+import javax.inject.Provider;
+import javax.inject.Singleton;
+import org.hyssoprouter.daemon.configuration.ConfigFreshness;
+import org.hyssoprouter.daemon.configuration.ConfigurationService;
+import org.hyssoprouter.daemon.ownership.HostListView;
+import org.hyssoprouter.daemon.ownership.OwnershipService;
+import org.hyssoprouter.daemon.ownership.OwnershipSettings;
+import org.hyssoprouter.daemon.request.RequestRouter;
+import org.hyssoprouter.daemon.settings.DaemonSettings;
+import org.hyssoprouter.internal.config.ConfigHolder;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.journal.GroupCommit;
+import org.hyssoprouter.internal.journal.GroupSettings;
+import org.hyssoprouter.internal.ownership.DaemonRow;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.internal.ownership.ShardDirectory;
+import org.hyssoprouter.transport.ExecutorClient;
+import org.hyssoprouter.transport.HostList;
+import org.hyssoprouter.transport.HostView;
+import org.hyssoprouter.transport.ObjectStore;
+import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.transport.TableService;
+import org.hyssoprouter.transport.WorkerClient;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * Provides this daemon's part in the cell: its ownership, its shards and the calls to others.
+ *
+ * @since 0.1
+ */
+@Module
+public final class CellModule {
+    private static final long HEARTBEAT_MILLIS = 1_000;
+    private static final long COMMIT_RETRY_MILLIS = 100;
+    private static final long CONFIG_MAX_AGE_MILLIS = 5_000;
+    private static final int SNAPSHOT_ROWS = 200;
+
+    @Provides
+    @Singleton
+    DaemonRow self(DaemonSettings settings) {
+        return new DaemonRow(
+                settings.name(),
+                UUID.randomUUID().toString(),
+                settings.region(),
+                settings.domain(),
+                settings.http().toString(),
+                settings.peer().toString(),
+                0,
+                false);
+    }
+
+    @Provides
+    @Singleton
+    HostListView hostListView(HostList list) {
+        return new HostListView(list);
+    }
+
+    @Provides
+    HostView hosts(HostListView view) {
+        return view;
+    }
+
+    @Provides
+    @Singleton
+    ConfigHolder configHolder() {
+        return new ConfigHolder();
+    }
+
+    @Provides
+    @Singleton
+    ConfigFreshness configFreshness(ConfigHolder holder, MonotonicClock clock) {
+        return new ConfigFreshness(holder, clock, CONFIG_MAX_AGE_MILLIS);
+    }
+
+    @Provides
+    ConfigView config(ConfigFreshness freshness) {
+        return freshness;
+    }
+
+    @Provides
+    @Singleton
+    ConfigurationService configuration(
+            ConfigHolder holder,
+            ConfigFreshness freshness,
+            TableService table,
+            OwnershipService ownership,
+            PeerTransport peers,
+            DaemonRow self,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer) {
+        return new ConfigurationService(
+                holder,
+                freshness,
+                table,
+                ownership.groupCommit(),
+                ownership,
+                peers,
+                self,
+                clock,
+                monotonic,
+                timer);
+    }
+
+    @Provides
+    @Singleton
+    PeerDispatcher dispatcher() {
+        return new PeerDispatcher();
+    }
+
+    @Provides
+    @Singleton
+    LoadBoard loadBoard() {
+        return new LoadBoard();
+    }
+
+    @Provides
+    @Singleton
+    OwnershipService ownership(
+            DaemonSettings settings,
+            DaemonRow self,
+            TableService table,
+            ObjectStore objects,
+            HostListView hosts,
+            PeerTransport peers,
+            OwnedShard.Factory factory,
+            MonotonicClock clock) {
+        return new OwnershipService(
+                ownershipSettings(settings), self, table, objects, hosts, peers, factory, clock);
+    }
+
+    private static OwnershipSettings ownershipSettings(DaemonSettings settings) {
+        DaemonSettings.Timing timing = settings.timing();
+        GroupSettings groups =
+                new GroupSettings(
+                        timing.groupMillis(),
+                        HEARTBEAT_MILLIS,
+                        COMMIT_RETRY_MILLIS,
+                        settings.limits().tableWritesPerSecond());
+        return new OwnershipSettings(
+                timing.pollMillis(),
+                timing.deadAfterMillis(),
+                timing.confirmMillis(),
+                OwnershipSettings.defaults().staleMillis(),
+                SNAPSHOT_ROWS,
+                groups);
+    }
+
+    @Provides
+    ShardDirectory directory(OwnershipService ownership) {
+        return ownership;
+    }
+
+    @Provides
+    GroupCommit commits(OwnershipService ownership) {
+        return ownership.groupCommit();
+    }
+
+    @Provides
+    @Singleton
+    OwnedShard.Factory shardFactory(
+            WorkerClient workers,
+            ExecutorClient executors,
+            HostView hosts,
+            ConfigView config,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer,
+            DaemonSettings settings,
+            Provider<RequestRouter> router) {
+        return new ShardOpener(
+                workers,
+                executors,
+                hosts,
+                config,
+                clock,
+                monotonic,
+                timer,
+                settings.region(),
+                router);
+    }
+
+    @Provides
+    @Singleton
+    RequestRouter requestRouter(
+            ShardDirectory directory,
+            HostView hosts,
+            ConfigView config,
+            PeerTransport peers,
+            ShardCalls calls,
+            DaemonSettings settings,
+            MonotonicClock clock) {
+        return new RequestRouter(
+                directory,
+                hosts,
+                config,
+                peers,
+                shard -> calls.owned(shard).map(HostedShard::desk),
+                settings.region(),
+                clock);
+    }
+
+    @Provides
+    @Singleton
+    ShardCalls shardCalls(ShardDirectory directory, PeerTransport peers) {
+        return new ShardCalls(directory, peers);
+    }
+
+    @Provides
+    @Singleton
+    JobRouter jobRouter(
+            ShardDirectory directory,
+            ShardCalls calls,
+            HostView hosts,
+            LoadBoard loads,
+            ConfigView config,
+            GroupCommit commits,
+            TableService table,
+            ScheduledExecutorService timer) {
+        HomeChooser chooser = new HomeChooser(directory, hosts, loads);
+        return new JobRouter(directory, calls, chooser, config, commits, table, timer);
+    }
+
+    @Provides
+    @Singleton
+    LoadPoller loadPoller(
+            ShardDirectory directory,
+            ShardCalls calls,
+            PeerTransport peers,
+            LoadBoard board,
+            DaemonSettings settings,
+            ScheduledExecutorService timer) {
+        return new LoadPoller(directory, calls, peers, board, settings.region(), timer);
+    }
+
+    @Provides
+    @Singleton
+    PeerHandlers peerHandlers(ShardCalls calls, RequestRouter router, LoadPoller loads) {
+        return new PeerHandlers(calls, router, loads);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/HomeChooser.java
@@ -0,0 +1,65 @@
+package org.hyssoprouter.daemon.cell;
+
+import java.util.Comparator;
+import java.util.List;
+import org.hyssoprouter.internal.ownership.ShardDirectory;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.transport.HostView;
+
+/** Chooses the home shard of a job from the load of the region's shards. */
+final class HomeChooser {
+    private final ShardDirectory mDirectory;
+    private final HostView mHosts;
+    private final LoadBoard mLoads;
+
+    HomeChooser(ShardDirectory directory, HostView hosts, LoadBoard loads) {
+        mDirectory = directory;
+        mHosts = hosts;
+        mLoads = loads;
+    }
+
+    /**
+     * Returns the shards of a region in which a task of the job fits an empty worker, best first.
+     */
+    List<String> choices(JobSpec spec, String region) {
+        return mDirectory.shards().stream()
+                .filter(row -> row.region().equals(region))
+                .map(ShardRow::shard)
+                .filter(shard -> fitsSomeWorker(spec, shard))
+                .sorted(byRoomFor(spec))
+                .toList();
+    }
+
+    /** Returns whether the region has any shard. */
+    boolean hasShards(String region) {
+        return mDirectory.shards().stream().anyMatch(row -> row.region().equals(region));
+    }
+
+    private boolean fitsSomeWorker(JobSpec spec, String shard) {
+        return mHosts.hostsOf(shard).stream()
+                .map(HostInfo::capacity)
+                .anyMatch(capacity -> spec.room().fitsIn(capacity));
+    }
+
+    private Comparator<String> byRoomFor(JobSpec spec) {
+        return Comparator.comparing((String shard) -> !fitsNow(spec, shard))
+                .thenComparing(shard -> -freeTasks(spec, shard))
+                .thenComparing(shard -> (shard + spec.id()).hashCode());
+    }
+
+    private boolean fitsNow(JobSpec spec, String shard) {
+        return mLoads.digest(shard)
+                .map(digest -> spec.room().fitsIn(digest.largestFree()))
+                .getOrElse(false);
+    }
+
+    private long freeTasks(JobSpec spec, String shard) {
+        Room free = mLoads.digest(shard).map(digest -> digest.freeRoom()).getOrElse(Room.NONE);
+        long byCpu = free.cpuMillis() / Math.max(1, spec.room().cpuMillis());
+        long byMemory = free.memoryBytes() / Math.max(1, spec.room().memoryBytes());
+        return Math.min(byCpu, byMemory);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/HostedShard.java
@@ -0,0 +1,84 @@
+package org.hyssoprouter.daemon.cell;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
+import org.hyssoprouter.daemon.cell.JobMessages.JobReply;
+import org.hyssoprouter.daemon.placement.ShardScheduler;
+import org.hyssoprouter.daemon.request.RequestDesk;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.internal.ownership.ShardContext;
+import org.hyssoprouter.transport.LoadDigest;
+
+/**
+ * A shard that this daemon owns: the scheduler of its workers and the desk of its executors.
+ *
+ * @since 0.1
+ */
+public final class HostedShard implements OwnedShard {
+    private final ShardContext mContext;
+    private final ShardScheduler mScheduler;
+    private final RequestDesk mDesk;
+
+    /** Creates the shard from its two parts, which run under the same ownership. */
+    HostedShard(ShardContext context, ShardScheduler scheduler, RequestDesk desk) {
+        mContext = context;
+        mScheduler = scheduler;
+        mDesk = desk;
+    }
+
+    @Override
+    public void start() {
+        mScheduler.start();
+        mDesk.start();
+    }
+
+    @Override
+    public void stop() {
+        mDesk.stop();
+        mScheduler.stop();
+    }
+
+    @Override
+    public ShardContext context() {
+        return mContext;
+    }
+
+    @Override
+    public List<ShardEvent> snapshotEvents() {
+        return Stream.concat(mScheduler.snapshotEvents().stream(), mDesk.snapshotEvents().stream())
+                .toList();
+    }
+
+    @Override
+    public CompletableFuture<Boolean> quiesce() {
+        return mDesk.quiesce().thenCombine(mScheduler.quiesce(), (desk, jobs) -> desk && jobs);
+    }
+
+    /** Returns the scheduler of the shard's workers. */
+    public ShardScheduler scheduler() {
+        return mScheduler;
+    }
+
+    /** Returns the desk of the shard's executors. */
+    public RequestDesk desk() {
+        return mDesk;
+    }
+
+    /** Returns the load of workers and executors together. */
+    public LoadDigest load() {
+        LoadDigest requests = mDesk.load();
+        return new LoadDigest(
+                requests.shard(),
+                requests.epoch(),
+                requests.sequence(),
+                requests.services(),
+                mScheduler.freeRoom(),
+                mScheduler.largestFree());
+    }
+
+    JobReply viewReply(String job) {
+        return new JobReply(mScheduler.view(job).getOrNull(), null);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobMessages.java
@@ -0,0 +1,42 @@
+package org.hyssoprouter.daemon.cell;
+
+import io.vavr.control.Either;
+import java.util.List;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.JobView;
+import org.jspecify.annotations.Nullable;
+
+/** Messages between daemons about jobs and workers. */
+final class JobMessages {
+    private JobMessages() {}
+
+    /** Submits a job to its home shard. */
+    record JobSubmit(String shard, JobSpec spec) {}
+
+    /** Names a job at a shard, to view or cancel it. */
+    record JobQuery(String shard, String job) {}
+
+    /** Asks for the jobs of a shard. */
+    record JobListQuery(String shard, int limit) {}
+
+    /** Takes a worker out of use or puts it back. */
+    record DrainOrder(String shard, String worker, boolean drained) {}
+
+    /** Outcome of a {@link DrainOrder}; null when it is in force. */
+    record DrainReply(@Nullable Refusal refusal) {}
+
+    /** State of a job, or why there is none; both null when the shard has no such job. */
+    record JobReply(@Nullable JobView view, @Nullable Refusal refusal) {
+        static JobReply of(Either<Refusal, JobView> result) {
+            return result.fold(
+                    refusal -> new JobReply(null, refusal), view -> new JobReply(view, null));
+        }
+    }
+
+    /** Jobs of a shard. */
+    record JobListReply(List<JobView> views) {}
+
+    /** Row {@code job/ID}: home shard of a job. */
+    record JobHome(String shard) {}
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobRouter.java
@@ -0,0 +1,292 @@
+package org.hyssoprouter.daemon.cell;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.stream.Stream;
+import org.hyssoprouter.daemon.cell.JobMessages.JobHome;
+import org.hyssoprouter.daemon.cell.JobMessages.JobListQuery;
+import org.hyssoprouter.daemon.cell.JobMessages.JobListReply;
+import org.hyssoprouter.daemon.cell.JobMessages.JobQuery;
+import org.hyssoprouter.daemon.cell.JobMessages.JobReply;
+import org.hyssoprouter.daemon.cell.JobMessages.JobSubmit;
+import org.hyssoprouter.daemon.http.JobService;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.config.CustomerPolicy;
+import org.hyssoprouter.internal.journal.GroupCommit;
+import org.hyssoprouter.internal.ownership.ShardDirectory;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.JobView;
+import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.transport.PeerCallType;
+import org.hyssoprouter.transport.Row;
+import org.hyssoprouter.transport.TableService;
+import org.hyssoprouter.transport.Transaction;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * Finds the home shard of a job and hands operators' calls to its owner.
+ *
+ * @since 0.1
+ */
+public final class JobRouter implements JobService {
+    private static final long CALL_TIMEOUT_MILLIS = 5_000;
+    private static final long CLAIM_ID_MILLIS = 2_000;
+    private static final long RETRY_AFTER_MILLIS = 2_000;
+
+    private final ShardDirectory mDirectory;
+    private final ShardCalls mCalls;
+    private final HomeChooser mChooser;
+    private final ConfigView mConfig;
+    private final GroupCommit mCommits;
+    private final TableService mTable;
+    private final Executor mBlocking;
+
+    /**
+     * Creates the router.
+     *
+     * @param blocking runs reads of the table, which block
+     */
+    JobRouter(
+            ShardDirectory directory,
+            ShardCalls calls,
+            HomeChooser chooser,
+            ConfigView config,
+            GroupCommit commits,
+            TableService table,
+            Executor blocking) {
+        mDirectory = directory;
+        mCalls = calls;
+        mChooser = chooser;
+        mConfig = config;
+        mCommits = commits;
+        mTable = table;
+        mBlocking = blocking;
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, JobView>> submit(JobSpec spec) {
+        Either<Refusal, String> home = chooseHome(spec);
+        if (home.isLeft()) {
+            return CompletableFuture.completedFuture(Either.left(home.getLeft()));
+        }
+        return claimId(spec.id(), home.get())
+                .thenCompose(
+                        claimed ->
+                                claimed.fold(
+                                        refusal ->
+                                                CompletableFuture.completedFuture(
+                                                        Either.left(refusal)),
+                                        shard -> submitAt(shard, spec)));
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, JobView>> cancel(String job) {
+        return askEach(
+                job,
+                shard ->
+                        mCalls.call(
+                                shard,
+                                hosted -> hosted.scheduler().cancel(job).thenApply(JobReply::of),
+                                PeerCallType.JOB_CANCEL,
+                                new JobQuery(shard, job),
+                                JobReply.class,
+                                CALL_TIMEOUT_MILLIS));
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, JobView>> view(String job) {
+        return askEach(
+                job,
+                shard ->
+                        mCalls.call(
+                                shard,
+                                hosted -> CompletableFuture.completedFuture(hosted.viewReply(job)),
+                                PeerCallType.JOB_VIEW,
+                                new JobQuery(shard, job),
+                                JobReply.class,
+                                CALL_TIMEOUT_MILLIS));
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, List<JobView>>> list(int limit) {
+        List<CompletableFuture<Either<CallError, JobListReply>>> calls =
+                shards().map(shard -> listAt(shard, limit)).toList();
+        return all(calls).thenApply(replies -> merge(replies, limit));
+    }
+
+    private CompletableFuture<Either<CallError, JobListReply>> listAt(String shard, int limit) {
+        return mCalls.call(
+                shard,
+                hosted ->
+                        CompletableFuture.completedFuture(
+                                new JobListReply(hosted.scheduler().list(limit))),
+                PeerCallType.JOB_LIST,
+                new JobListQuery(shard, limit),
+                JobListReply.class,
+                CALL_TIMEOUT_MILLIS);
+    }
+
+    private static Either<Refusal, List<JobView>> merge(
+            List<Either<CallError, JobListReply>> replies, int limit) {
+        Option<CallError> failure =
+                Option.ofOptional(
+                        replies.stream().filter(Either::isLeft).map(Either::getLeft).findFirst());
+        if (failure.isDefined()) {
+            return Either.left(unreachable(failure.get()));
+        }
+        List<JobView> views = new ArrayList<>();
+        replies.forEach(reply -> views.addAll(reply.get().views()));
+        views.sort(Comparator.comparingLong(JobView::acceptedWallMillis).reversed());
+        return Either.right(views.stream().limit(limit).toList());
+    }
+
+    private Either<Refusal, String> chooseHome(JobSpec spec) {
+        Option<CustomerPolicy> policy =
+                mConfig.current().flatMap(config -> config.customer(spec.customer()));
+        if (mConfig.current().isEmpty()) {
+            return Either.left(
+                    Refusal.later(
+                            RefusalCode.NOT_READY, "no configuration yet", RETRY_AFTER_MILLIS));
+        }
+        if (policy.isEmpty()) {
+            return Either.left(
+                    Refusal.badField("customer", "a customer of the configuration is expected"));
+        }
+        String region = spec.region() == null ? policy.get().homeRegion() : spec.region();
+        if (!mChooser.hasShards(region)) {
+            return Either.left(Refusal.badField("region", "no such region: " + region));
+        }
+        List<String> choices = mChooser.choices(spec, region);
+        if (choices.isEmpty()) {
+            return Either.left(
+                    Refusal.notRun(
+                            RefusalCode.CANNOT_RUN,
+                            "a task is larger than every worker of region " + region));
+        }
+        return Either.right(choices.get(0));
+    }
+
+    /** Makes the id unique in the cell; a known id gives the home that it already has. */
+    private CompletableFuture<Either<Refusal, String>> claimId(String job, String home) {
+        String key = "job/" + job;
+        Transaction claim =
+                Transaction.create()
+                        .check(key, Transaction.ABSENT)
+                        .put(key, MessageCodec.encode(new JobHome(home)));
+        return mCommits.commit(claim, CLAIM_ID_MILLIS)
+                .thenComposeAsync(result -> settleClaim(key, home, result), mBlocking);
+    }
+
+    private CompletableFuture<Either<Refusal, String>> settleClaim(
+            String key, String home, Either<TableError, Boolean> result) {
+        if (result.isRight()) {
+            return CompletableFuture.completedFuture(Either.right(home));
+        }
+        if (result.getLeft().kind() != TableError.Kind.CONFLICT) {
+            return CompletableFuture.completedFuture(Either.left(tableOut()));
+        }
+        return CompletableFuture.completedFuture(readHome(key));
+    }
+
+    private Either<Refusal, String> readHome(String key) {
+        Either<TableError, List<Row>> rows = mTable.read(List.of(key));
+        if (rows.isLeft() || rows.get().isEmpty()) {
+            return Either.left(tableOut());
+        }
+        try {
+            return Either.right(
+                    MessageCodec.decode(rows.get().get(0).value(), JobHome.class).shard());
+        } catch (IOException e) {
+            return Either.left(
+                    Refusal.notRun(RefusalCode.CONFLICT, "the id belongs to an unreadable row"));
+        }
+    }
+
+    private CompletableFuture<Either<Refusal, JobView>> submitAt(String shard, JobSpec spec) {
+        return mCalls.call(
+                        shard,
+                        hosted -> hosted.scheduler().submit(spec).thenApply(JobReply::of),
+                        PeerCallType.JOB_SUBMIT,
+                        new JobSubmit(shard, spec),
+                        JobReply.class,
+                        CALL_TIMEOUT_MILLIS)
+                .thenApply(JobRouter::resultOf);
+    }
+
+    private static Either<Refusal, JobView> resultOf(Either<CallError, JobReply> reply) {
+        if (reply.isLeft()) {
+            return Either.left(unreachable(reply.getLeft()));
+        }
+        JobView view = reply.get().view();
+        Refusal refusal = reply.get().refusal();
+        if (view != null) {
+            return Either.right(view);
+        }
+        return Either.left(
+                refusal == null ? Refusal.notRun(RefusalCode.NOT_FOUND, "no such job") : refusal);
+    }
+
+    private CompletableFuture<Either<Refusal, JobView>> askEach(String job, Ask ask) {
+        List<CompletableFuture<Either<CallError, JobReply>>> calls = shards().map(ask::at).toList();
+        return all(calls).thenApply(replies -> pick(job, replies));
+    }
+
+    private static Either<Refusal, JobView> pick(
+            String job, List<Either<CallError, JobReply>> replies) {
+        Option<CallError> failure = Option.none();
+        for (Either<CallError, JobReply> reply : replies) {
+            if (reply.isLeft()) {
+                failure = Option.of(reply.getLeft());
+                continue;
+            }
+            if (reply.get().view() != null || reply.get().refusal() != null) {
+                return resultOf(reply);
+            }
+        }
+        return Either.left(
+                failure.map(JobRouter::unreachable)
+                        .getOrElse(Refusal.notRun(RefusalCode.NOT_FOUND, "no such job: " + job)));
+    }
+
+    private Stream<String> shards() {
+        return mDirectory.shards().stream().map(ShardRow::shard);
+    }
+
+    private static <T> CompletableFuture<List<T>> all(List<CompletableFuture<T>> calls) {
+        return CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
+                .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
+    }
+
+    private static Refusal tableOut() {
+        return Refusal.later(
+                RefusalCode.TABLE_UNAVAILABLE,
+                "the table service cannot be reached, and a new job needs it",
+                RETRY_AFTER_MILLIS);
+    }
+
+    private static Refusal unreachable(CallError error) {
+        return new Refusal(
+                error.verdict() == Verdict.NOT_RUN ? RefusalCode.NO_OWNER : RefusalCode.TIMEOUT,
+                error.verdict(),
+                "owner of the shard: " + error.message(),
+                null,
+                RETRY_AFTER_MILLIS);
+    }
+
+    /** Asks the owner of one shard about a job. */
+    @FunctionalInterface
+    private interface Ask {
+        CompletableFuture<Either<CallError, JobReply>> at(String shard);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/LoadPoller.java
@@ -0,0 +1,136 @@
+package org.hyssoprouter.daemon.cell;
+
+import io.vavr.control.Either;
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.internal.ownership.ShardDirectory;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.transport.LoadDigest;
+import org.hyssoprouter.transport.PeerCallType;
+import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Asks the owners of shards for their load. Owners in other regions are asked less often, because
+ * every byte between regions has a price.
+ *
+ * @since 0.1
+ */
+public final class LoadPoller implements Service {
+    private static final long PERIOD_MILLIS = 1_000;
+    private static final long TIMEOUT_MILLIS = 1_000;
+    private static final int OTHER_REGION_ROUNDS = 5;
+
+    private final ShardDirectory mDirectory;
+    private final ShardCalls mCalls;
+    private final PeerTransport mPeers;
+    private final LoadBoard mBoard;
+    private final String mRegion;
+    private final ScheduledExecutorService mTimer;
+    private @Nullable ScheduledFuture<?> mTask;
+    private int mRound;
+
+    /**
+     * Creates the poller.
+     *
+     * @param region region of this daemon
+     */
+    public LoadPoller(
+            ShardDirectory directory,
+            ShardCalls calls,
+            PeerTransport peers,
+            LoadBoard board,
+            String region,
+            ScheduledExecutorService timer) {
+        mDirectory = directory;
+        mCalls = calls;
+        mPeers = peers;
+        mBoard = board;
+        mRegion = region;
+        mTimer = timer;
+    }
+
+    @Override
+    public void start() {
+        mTask =
+                mTimer.scheduleWithFixedDelay(
+                        this::poll, PERIOD_MILLIS, PERIOD_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        if (mTask != null) {
+            mTask.cancel(false);
+        }
+    }
+
+    /** Returns the load of all shards that this daemon owns. */
+    LoadReply ownLoad() {
+        return new LoadReply(
+                mDirectory.shards().stream()
+                        .flatMap(row -> mCalls.owned(row.shard()).toJavaStream())
+                        .map(HostedShard::load)
+                        .toList());
+    }
+
+    private void poll() {
+        mRound++;
+        ownLoad().digests().forEach(mBoard::update);
+        mDirectory.shards().stream()
+                .filter(row -> mCalls.owned(row.shard()).isEmpty())
+                .filter(this::isDue)
+                .map(ShardRow::peerAddress)
+                .distinct()
+                .forEach(this::ask);
+    }
+
+    private boolean isDue(ShardRow row) {
+        return row.region().equals(mRegion) || mRound % OTHER_REGION_ROUNDS == 1;
+    }
+
+    private void ask(String address) {
+        CompletableFuture<Void> unused =
+                mPeers.call(
+                                address,
+                                PeerCallType.LOAD.number(),
+                                TrafficClass.NORMAL,
+                                MessageCodec.encode(new LoadQuery(mRegion)),
+                                TIMEOUT_MILLIS)
+                        .thenAccept(this::keep);
+    }
+
+    private void keep(Either<CallError, byte[]> answer) {
+        // A digest that does not arrive is simply older; the next round asks again.
+        if (answer.isLeft()) {
+            return;
+        }
+        try {
+            MessageCodec.decode(answer.get(), LoadReply.class).digests().forEach(mBoard::update);
+        } catch (IOException e) {
+            System.getLogger(LoadPoller.class.getName())
+                    .log(System.Logger.Level.WARNING, "unreadable load digest", e);
+        }
+    }
+
+    /**
+     * Asks a peer for the load of its shards.
+     *
+     * @param region region of the asking daemon
+     */
+    record LoadQuery(String region) {}
+
+    /**
+     * Load of the shards that a daemon owns.
+     *
+     * @param digests one for each shard
+     */
+    record LoadReply(List<LoadDigest> digests) {}
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/ShardCalls.java
@@ -0,0 +1,84 @@
+package org.hyssoprouter.daemon.cell;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.internal.ownership.ShardDirectory;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.transport.PeerCallType;
+import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * Calls the owner of a shard: directly if that is this daemon, else over the peer link.
+ *
+ * @since 0.1
+ */
+public final class ShardCalls {
+    private final ShardDirectory mDirectory;
+    private final PeerTransport mPeers;
+
+    /** Creates the caller. */
+    public ShardCalls(ShardDirectory directory, PeerTransport peers) {
+        mDirectory = directory;
+        mPeers = peers;
+    }
+
+    /**
+     * Calls the owner of {@code shard}.
+     *
+     * @param local runs the call on a shard that this daemon owns
+     * @param query message for an owner elsewhere
+     * @param timeoutMillis time for the answer
+     */
+    public <Q, A> CompletableFuture<Either<CallError, A>> call(
+            String shard,
+            Function<HostedShard, CompletableFuture<A>> local,
+            PeerCallType type,
+            Q query,
+            Class<A> answerType,
+            long timeoutMillis) {
+        Option<HostedShard> owned = owned(shard);
+        if (owned.isDefined()) {
+            return local.apply(owned.get()).thenApply(Either::right);
+        }
+        Option<ShardRow> row = rowOf(shard);
+        if (row.isEmpty()) {
+            return CompletableFuture.completedFuture(Either.left(noOwner(shard)));
+        }
+        return mPeers.call(
+                        row.get().peerAddress(),
+                        type.number(),
+                        TrafficClass.NORMAL,
+                        MessageCodec.encode(query),
+                        timeoutMillis)
+                .thenApply(result -> result.flatMap(bytes -> decode(bytes, answerType)));
+    }
+
+    /** Returns the shard if this daemon owns it now. */
+    public Option<HostedShard> owned(String shard) {
+        return mDirectory.owned(shard).map(HostedShard.class::cast);
+    }
+
+    private Option<ShardRow> rowOf(String shard) {
+        return Option.ofOptional(
+                mDirectory.shards().stream().filter(row -> row.shard().equals(shard)).findFirst());
+    }
+
+    private static CallError noOwner(String shard) {
+        return CallError.notRun(CallError.Kind.UNREACHABLE, "no owner of shard " + shard);
+    }
+
+    private static <A> Either<CallError, A> decode(byte[] bytes, Class<A> type) {
+        try {
+            return Either.right(MessageCodec.decode(bytes, type));
+        } catch (IOException e) {
+            return Either.left(
+                    CallError.mayHaveRun(CallError.Kind.BROKEN, "bad answer: " + e.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/ShardOpener.java
@@ -0,0 +1,79 @@
+package org.hyssoprouter.daemon.cell;
+
+import java.time.Clock;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import javax.inject.Provider;
+import org.hyssoprouter.daemon.placement.ShardScheduler;
+import org.hyssoprouter.daemon.request.ClaimedDispatch;
+import org.hyssoprouter.daemon.request.RequestDesk;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.journal.ShardEvent;
+import org.hyssoprouter.internal.ownership.OwnedShard;
+import org.hyssoprouter.internal.ownership.ShardContext;
+import org.hyssoprouter.transport.ExecutorClient;
+import org.hyssoprouter.transport.HostView;
+import org.hyssoprouter.transport.WorkerClient;
+import org.hyssoprouter.util.MonotonicClock;
+
+/** Opens the shards that this daemon comes to own. */
+final class ShardOpener implements OwnedShard.Factory {
+    private final WorkerClient mWorkers;
+    private final ExecutorClient mExecutors;
+    private final HostView mHosts;
+    private final ConfigView mConfig;
+    private final Clock mClock;
+    private final MonotonicClock mMonotonic;
+    private final ScheduledExecutorService mTimer;
+    private final String mRegion;
+    private final Provider<? extends ClaimedDispatch> mDispatch;
+
+    /**
+     * Creates the opener.
+     *
+     * @param region region of this daemon; only shards of it are settled by silence
+     * @param dispatch sends claimed requests to other shards; asked for late, because it depends on
+     *     the owner of this factory
+     */
+    ShardOpener(
+            WorkerClient workers,
+            ExecutorClient executors,
+            HostView hosts,
+            ConfigView config,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer,
+            String region,
+            Provider<? extends ClaimedDispatch> dispatch) {
+        mWorkers = workers;
+        mExecutors = executors;
+        mHosts = hosts;
+        mConfig = config;
+        mClock = clock;
+        mMonotonic = monotonic;
+        mTimer = timer;
+        mRegion = region;
+        mDispatch = dispatch;
+    }
+
+    @Override
+    public HostedShard open(ShardContext context, List<ShardEvent> history) {
+        boolean settledBySilence = context.region().equals(mRegion);
+        ShardScheduler scheduler =
+                new ShardScheduler(
+                        context,
+                        history,
+                        mWorkers,
+                        mHosts,
+                        mConfig,
+                        mClock,
+                        mMonotonic,
+                        mTimer,
+                        settledBySilence);
+        RequestDesk desk =
+                new RequestDesk(
+                        context, history, mExecutors, mHosts, mConfig, mClock, mMonotonic, mTimer);
+        desk.setDispatch((order, claimShard) -> mDispatch.get().dispatch(order, claimShard));
+        return new HostedShard(context, scheduler, desk);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigRows.java
@@ -0,0 +1,39 @@
+package org.hyssoprouter.daemon.configuration;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.util.Locale;
+import org.hyssoprouter.internal.config.ConfigDocument;
+import org.hyssoprouter.util.MessageCodec;
+
+/** Form of configuration documents in the table and on the peer link. */
+final class ConfigRows {
+    static final String HISTORY_PREFIX = "config/history/";
+
+    private static final System.Logger LOG = System.getLogger(ConfigRows.class.getName());
+
+    private ConfigRows() {}
+
+    static String historyKey(long version) {
+        return HISTORY_PREFIX + String.format(Locale.ROOT, "%012d", version);
+    }
+
+    static byte[] encode(ConfigDocument document) {
+        try {
+            return MessageCodec.json().writeValueAsBytes(document);
+        } catch (JsonProcessingException e) {
+            throw new IllegalArgumentException("cannot encode the configuration", e);
+        }
+    }
+
+    /** Returns the document, or none when the bytes are not one. */
+    static Option<ConfigDocument> decode(byte[] bytes) {
+        try {
+            return Option.of(MessageCodec.json().readValue(bytes, ConfigDocument.class));
+        } catch (IOException e) {
+            LOG.log(System.Logger.Level.ERROR, "unreadable configuration, kept the former one", e);
+            return Option.none();
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigurationService.java
@@ -0,0 +1,295 @@
+package org.hyssoprouter.daemon.configuration;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.time.Clock;
+import java.util.Comparator;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import org.hyssoprouter.daemon.configuration.ConfigMessages.VersionQuery;
+import org.hyssoprouter.daemon.configuration.ConfigMessages.VersionReply;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.errors.RefusalCode;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.config.ConfigCheck;
+import org.hyssoprouter.internal.config.ConfigDocument;
+import org.hyssoprouter.internal.config.ConfigHolder;
+import org.hyssoprouter.internal.config.ResolvedConfig;
+import org.hyssoprouter.internal.journal.GroupCommit;
+import org.hyssoprouter.internal.ownership.DaemonRow;
+import org.hyssoprouter.internal.ownership.ShardDirectory;
+import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.transport.Row;
+import org.hyssoprouter.transport.TableService;
+import org.hyssoprouter.transport.Transaction;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.MonotonicClock;
+import org.hyssoprouter.util.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Applies each version of the configuration that it reads, accepts changes by compare-and-set, and
+ * follows a change until every live daemon applies it.
+ *
+ * @since 0.1
+ */
+public final class ConfigurationService implements Service {
+    private static final long ROLLOUT_MILLIS = 10_000;
+    private static final long STATUS_MILLIS = 1_000;
+    private static final long COMMIT_WITHIN_MILLIS = 3_000;
+    private static final long RETRY_AFTER_MILLIS = 2_000;
+    private static final long CHECK_PERIOD_MILLIS = 1_000;
+    private static final long ASK_PEERS_AGE_MILLIS = 2_000;
+    private static final int HISTORY_ROWS = 200;
+
+    private final ConfigHolder mHolder;
+    private final ConfigFreshness mFreshness;
+    private final TableService mTable;
+    private final GroupCommit mCommits;
+    private final ShardDirectory mDirectory;
+    private final PeerVersions mVersions;
+    private final DaemonRow mSelf;
+    private final Clock mClock;
+    private final MonotonicClock mMonotonic;
+    private final ScheduledExecutorService mTimer;
+    private volatile @Nullable ScheduledFuture<?> mCheck;
+
+    /**
+     * Creates the service.
+     *
+     * @param self identity of this daemon
+     * @param timer runs checks, and reads of the table, which block
+     */
+    public ConfigurationService(
+            ConfigHolder holder,
+            ConfigFreshness freshness,
+            TableService table,
+            GroupCommit commits,
+            ShardDirectory directory,
+            PeerTransport peers,
+            DaemonRow self,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer) {
+        mHolder = holder;
+        mFreshness = freshness;
+        mTable = table;
+        mCommits = commits;
+        mDirectory = directory;
+        mVersions = new PeerVersions(peers);
+        mSelf = self;
+        mClock = clock;
+        mMonotonic = monotonic;
+        mTimer = timer;
+    }
+
+    @Override
+    public void start() {
+        mCheck =
+                mTimer.scheduleWithFixedDelay(
+                        this::askPeersIfStale,
+                        CHECK_PERIOD_MILLIS,
+                        CHECK_PERIOD_MILLIS,
+                        TimeUnit.MILLISECONDS);
+    }
+
+    @Override
+    public void stop() {
+        ScheduledFuture<?> check = mCheck;
+        if (check != null) {
+            check.cancel(false);
+        }
+    }
+
+    /**
+     * Applies the row that a read of the table found.
+     *
+     * @param startedMillis monotonic time at which the read began
+     */
+    public void onRow(Row row, long startedMillis) {
+        ConfigRows.decode(row.value()).peek(this::apply);
+        mFreshness.checked(startedMillis);
+    }
+
+    /**
+     * Accepts a change.
+     *
+     * @param edited document, with the version that it was edited from; 0 for the first one
+     * @return where it is in force, or every fault of the document, or why it was not accepted
+     */
+    public CompletableFuture<Either<List<Refusal>, ConfigStatus>> put(ConfigDocument edited) {
+        List<Refusal> faults = ConfigCheck.faults(edited);
+        if (!faults.isEmpty()) {
+            return CompletableFuture.completedFuture(Either.left(faults));
+        }
+        return CompletableFuture.supplyAsync(this::readAndApply, mTimer)
+                .thenCompose(row -> row.fold(this::refused, found -> commit(edited, found)));
+    }
+
+    /** Returns where the version that this daemon applies is in force. */
+    public CompletableFuture<ConfigStatus> status() {
+        return rollout(mHolder.version(), STATUS_MILLIS);
+    }
+
+    /** Returns the document in force at this daemon. */
+    public Option<ConfigDocument> document() {
+        return mHolder.document();
+    }
+
+    /** Returns former versions, newest first. */
+    public CompletableFuture<Either<Refusal, List<ConfigDocument>>> history() {
+        return CompletableFuture.supplyAsync(
+                () ->
+                        mTable.scan(ConfigRows.HISTORY_PREFIX)
+                                .bimap(error -> tableOut(), ConfigurationService::documents),
+                mTimer);
+    }
+
+    /** Answers a peer's call of type {@code CONFIG_VERSION}. */
+    public CompletableFuture<byte[]> onVersionCall(byte[] payload) {
+        VersionQuery query;
+        try {
+            query = MessageCodec.decode(payload, VersionQuery.class);
+        } catch (IOException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+        return answer(query).thenApply(MessageCodec::encode);
+    }
+
+    /** Reads the table first if the peer applies a newer version. */
+    private CompletableFuture<VersionReply> answer(VersionQuery query) {
+        if (query.version() <= mHolder.version()) {
+            return CompletableFuture.completedFuture(replyTo(query));
+        }
+        return CompletableFuture.supplyAsync(
+                () -> {
+                    readAndApply();
+                    return replyTo(query);
+                },
+                mTimer);
+    }
+
+    private VersionReply replyTo(VersionQuery query) {
+        Option<ConfigDocument> newer =
+                mHolder.document().filter(document -> document.version() > query.version());
+        return new VersionReply(
+                mSelf.name(),
+                mHolder.version(),
+                newer.map(ConfigRows::encode).getOrElse(() -> new byte[0]));
+    }
+
+    private Either<Refusal, Option<Row>> readAndApply() {
+        long startedMillis = mMonotonic.millis();
+        return mTable.read(List.of(ConfigDocument.ROW_KEY))
+                .bimap(
+                        error -> tableOut(),
+                        rows ->
+                                Option.ofOptional(rows.stream().findFirst())
+                                        .peek(row -> onRow(row, startedMillis)));
+    }
+
+    private CompletableFuture<Either<List<Refusal>, ConfigStatus>> commit(
+            ConfigDocument edited, Option<Row> row) {
+        long newest =
+                row.flatMap(found -> ConfigRows.decode(found.value()))
+                        .map(ConfigDocument::version)
+                        .getOrElse(0L);
+        if (edited.version() != newest) {
+            return refused(staleVersion(newest));
+        }
+        ConfigDocument accepted = edited.accepted(newest + 1, mClock.millis());
+        byte[] value = ConfigRows.encode(accepted);
+        Transaction change =
+                Transaction.create()
+                        .check(
+                                ConfigDocument.ROW_KEY,
+                                row.map(Row::version).getOrElse(Transaction.ABSENT))
+                        .put(ConfigDocument.ROW_KEY, value)
+                        .put(ConfigRows.historyKey(accepted.version()), value)
+                        .delete(ConfigRows.historyKey(accepted.version() - HISTORY_ROWS));
+        return mCommits.commit(change, COMMIT_WITHIN_MILLIS)
+                .thenCompose(result -> committed(accepted, result));
+    }
+
+    private CompletableFuture<Either<List<Refusal>, ConfigStatus>> committed(
+            ConfigDocument accepted, Either<TableError, Boolean> result) {
+        if (result.isLeft()) {
+            boolean lostRace = result.getLeft().kind() == TableError.Kind.CONFLICT;
+            return refused(lostRace ? staleVersion(accepted.version()) : tableOut());
+        }
+        apply(accepted);
+        return rollout(accepted.version(), ROLLOUT_MILLIS).thenApply(Either::right);
+    }
+
+    private CompletableFuture<ConfigStatus> rollout(long version, long withinMillis) {
+        return new Rollout(version, mSelf, mDirectory, mVersions, mMonotonic, mTimer, withinMillis)
+                .run();
+    }
+
+    private void askPeersIfStale() {
+        if (mFreshness.ageMillis() < ASK_PEERS_AGE_MILLIS) {
+            return;
+        }
+        long startedMillis = mMonotonic.millis();
+        List<DaemonRow> others =
+                mDirectory.liveDaemons().stream()
+                        .filter(daemon -> !daemon.name().equals(mSelf.name()))
+                        .toList();
+        if (others.isEmpty() && !mDirectory.liveDaemons().isEmpty()) {
+            // Alone in the cell: there is nobody who could have accepted a newer version.
+            mFreshness.checked(startedMillis);
+        }
+        for (DaemonRow daemon : others) {
+            CompletableFuture<Void> unused =
+                    mVersions
+                            .ask(daemon, mHolder.version())
+                            .thenAccept(reply -> learn(reply, startedMillis));
+        }
+    }
+
+    private void learn(Either<CallError, VersionReply> reply, long startedMillis) {
+        if (reply.isLeft()) {
+            return;
+        }
+        byte[] document = reply.get().document();
+        if (document.length > 0) {
+            ConfigRows.decode(document).peek(this::apply);
+        }
+        if (reply.get().version() <= mHolder.version()) {
+            mFreshness.checked(startedMillis);
+        }
+    }
+
+    private void apply(ConfigDocument document) {
+        mHolder.apply(new ResolvedConfig(document));
+    }
+
+    private CompletableFuture<Either<List<Refusal>, ConfigStatus>> refused(Refusal refusal) {
+        return CompletableFuture.completedFuture(Either.left(List.of(refusal)));
+    }
+
+    private static List<ConfigDocument> documents(List<Row> rows) {
+        return rows.stream()
+                .flatMap(row -> ConfigRows.decode(row.value()).toJavaStream())
+                .sorted(Comparator.comparingLong(ConfigDocument::version).reversed())
+                .toList();
+    }
+
+    private static Refusal staleVersion(long newest) {
+        return Refusal.notRun(
+                RefusalCode.CONFLICT,
+                "version: the configuration has changed, edit from version " + newest);
+    }
+
+    private static Refusal tableOut() {
+        return Refusal.later(
+                RefusalCode.TABLE_UNAVAILABLE,
+                "the table service cannot be reached, and a change needs it",
+                RETRY_AFTER_MILLIS);
+    }
+}
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OwnershipService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OwnershipService.java
@@ -6,7 +6,6 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.function.Consumer;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.journal.CommitLane;
 import org.hyssoprouter.internal.journal.EventList;
@@ -60,7 +59,7 @@
     private final OutageInquiry mInquiry;
     private final Claims mClaims;
     private final OldRows mOldRows;
-    private final List<Consumer<Row>> mConfigListeners = new CopyOnWriteArrayList<>();
+    private final List<ConfigRowListener> mConfigListeners = new CopyOnWriteArrayList<>();
     private volatile CellView mView = CellView.of(List.of());
     private volatile List<DaemonRow> mLive = List.of();
     private volatile boolean mStopping;
@@ -148,6 +147,17 @@
                         settings, self, mLiveness, mKeeper, mInquiry, hosts, reach, clock, mPoll);
     }
 
+    /** Gets the row of the configuration after each read that found one. */
+    @FunctionalInterface
+    public interface ConfigRowListener {
+        /**
+         * Takes the row; called on the poll thread, must not block.
+         *
+         * @param startedMillis monotonic time at which the read began
+         */
+        void onRow(Row row, long startedMillis);
+    }
+
     @Override
     public void start() {
         mWriterThread.start();
@@ -172,7 +182,7 @@
     }
 
     /** Adds a listener that gets the configuration's row after each read that found one. */
-    public void onConfigRow(Consumer<Row> listener) {
+    public void onConfigRow(ConfigRowListener listener) {
         mConfigListeners.add(listener);
     }
 
@@ -279,7 +289,11 @@
         mView = view;
         mLive = view.daemons().stream().filter(d -> !mLiveness.isDead(d.name())).toList();
         mRivals.read(startMillis, rivals());
-        view.config().peek(row -> mConfigListeners.forEach(listener -> listener.accept(row)));
+        view.config()
+                .peek(
+                        row ->
+                                mConfigListeners.forEach(
+                                        listener -> listener.onRow(row, startMillis)));
         mKeeper.dropLost(view);
         if (!mStopping) {
             mKeeper.adoptGiven(view);
