Wire the daemon: shards, jobs, configuration, peers and the HTTP API

Cause: the parts stood side by side; no process served a request or a job from end to end. Meters are not part of it yet.

--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ApiModule.java
@@ -0,0 +1,56 @@
+package org.hyssoprouter.daemon;
+
+import dagger.Module;
+import dagger.Provides;
+import javax.inject.Singleton;
+import org.hyssoprouter.daemon.cell.ClusterViews;
+import org.hyssoprouter.daemon.cell.JobRouter;
+import org.hyssoprouter.daemon.configuration.ConfigurationService;
+import org.hyssoprouter.daemon.http.ApiOptions;
+import org.hyssoprouter.daemon.http.ApiServer;
+import org.hyssoprouter.daemon.http.ApiServices;
+import org.hyssoprouter.daemon.http.RequestObserver;
+import org.hyssoprouter.daemon.request.RequestRouter;
+import org.hyssoprouter.daemon.settings.DaemonSettings;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.ownership.DaemonRow;
+
+/**
+ * Provides the HTTP API and what it calls.
+ *
+ * @since 0.1
+ */
+@Module
+public final class ApiModule {
+    @Provides
+    @Singleton
+    RequestObserver observer() {
+        return new NoMeters();
+    }
+
+    @Provides
+    @Singleton
+    ApiServer api(
+            DaemonSettings settings,
+            DaemonRow self,
+            RequestRouter requests,
+            JobRouter jobs,
+            ConfigurationService configuration,
+            ClusterViews cluster,
+            ConfigView config,
+            DaemonReadiness readiness,
+            RequestObserver observer) {
+        ApiOptions options =
+                new ApiOptions(
+                        settings.http().ip(),
+                        settings.http().port(),
+                        settings.operatorToken(),
+                        settings.limits().maxBodyBytes(),
+                        settings.limits().httpThreads(),
+                        self.incarnation());
+        ApiServices services =
+                new ApiServices(
+                        requests::route, jobs, configuration, cluster, config, readiness, observer);
+        return new ApiServer(options, services);
+    }
+}
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
@@ -11,6 +11,7 @@
 import org.hyssoprouter.daemon.cell.PeerDispatcher;
 import org.hyssoprouter.daemon.cell.PeerHandlers;
 import org.hyssoprouter.daemon.configuration.ConfigurationService;
+import org.hyssoprouter.daemon.http.ApiServer;
 import org.hyssoprouter.daemon.ownership.OwnershipService;
 import org.hyssoprouter.daemon.peer.PeerLink;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
@@ -26,7 +27,11 @@
 public final class Daemon implements Service {
     private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
 
+    private static final long ANSWER_POLL_MILLIS = 20;
+
     private final DaemonSettings mSettings;
+    private final DaemonReadiness mReadiness;
+    private final ApiServer mApi;
     private final PeerLink mPeerLink;
     private final PeerDispatcher mDispatcher;
     private final PeerHandlers mHandlers;
@@ -39,6 +44,8 @@
     @Inject
     Daemon(
             DaemonSettings settings,
+            DaemonReadiness readiness,
+            ApiServer api,
             PeerLink peerLink,
             PeerDispatcher dispatcher,
             PeerHandlers handlers,
@@ -48,6 +55,8 @@
             HttpCaller caller,
             ScheduledExecutorService timer) {
         mSettings = settings;
+        mReadiness = readiness;
+        mApi = api;
         mPeerLink = peerLink;
         mDispatcher = dispatcher;
         mHandlers = handlers;
@@ -68,12 +77,18 @@
         mOwnership.start();
         mConfiguration.start();
         mLoads.start();
+        mApi.start();
     }
 
     /** Stops as planned: no new work, shards handed over, requests in flight finished. */
     @Override
     public void stop() {
+        mReadiness.drain();
+        pause(TimeUnit.SECONDS.toMillis(mSettings.timing().balancerSeconds()));
+        mReadiness.close();
         handOver();
+        awaitAnswers();
+        mApi.stop();
         mLoads.stop();
         mConfiguration.stop();
         mOwnership.stop();
@@ -82,6 +97,23 @@
         mTimer.shutdown();
     }
 
+    /** Waits until every call that has arrived is answered, within the bound of a planned stop. */
+    private void awaitAnswers() {
+        long deadlineNanos =
+                System.nanoTime() + TimeUnit.SECONDS.toNanos(mSettings.timing().drainSeconds());
+        while (mApi.inFlight() > 0 && System.nanoTime() - deadlineNanos < 0) {
+            pause(ANSWER_POLL_MILLIS);
+        }
+    }
+
+    private static void pause(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     private void handOver() {
         try {
             mOwnership.handOver().get(mSettings.timing().drainSeconds(), TimeUnit.SECONDS);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/DaemonComponent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/DaemonComponent.java
@@ -12,7 +12,7 @@
  * @since 0.1
  */
 @Singleton
-@Component(modules = {ClockModule.class, TransportModule.class, CellModule.class})
+@Component(modules = {ClockModule.class, TransportModule.class, CellModule.class, ApiModule.class})
 public interface DaemonComponent {
     /** Returns the daemon, not yet started. */
     Daemon daemon();
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/DaemonReadiness.java
@@ -0,0 +1,42 @@
+package org.hyssoprouter.daemon;
+
+import javax.inject.Inject;
+import javax.inject.Singleton;
+import org.hyssoprouter.daemon.http.Readiness;
+import org.hyssoprouter.internal.config.ConfigView;
+import org.hyssoprouter.internal.ownership.ShardDirectory;
+
+/** Whether this daemon serves: it has read the cell and the configuration and is not stopping. */
+@Singleton
+final class DaemonReadiness implements Readiness {
+    private final ConfigView mConfig;
+    private final ShardDirectory mDirectory;
+    private volatile boolean mDraining;
+    private volatile boolean mClosed;
+
+    @Inject
+    DaemonReadiness(ConfigView config, ShardDirectory directory) {
+        mConfig = config;
+        mDirectory = directory;
+    }
+
+    /** Tells the balancer to send nothing more; calls that still arrive are served. */
+    void drain() {
+        mDraining = true;
+    }
+
+    /** Refuses calls that arrive from now on. */
+    void close() {
+        mClosed = true;
+    }
+
+    @Override
+    public boolean isReady() {
+        return !mDraining && !mDirectory.shards().isEmpty() && mConfig.current().isDefined();
+    }
+
+    @Override
+    public boolean isServing() {
+        return !mClosed;
+    }
+}
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/TransportModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/TransportModule.java
@@ -13,6 +13,7 @@
 import org.hyssoprouter.daemon.adapter.HttpWorkerClient;
 import org.hyssoprouter.daemon.peer.PeerLink;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
+import org.hyssoprouter.internal.placement.LeaseTiming;
 import org.hyssoprouter.transport.ExecutorClient;
 import org.hyssoprouter.transport.HostList;
 import org.hyssoprouter.transport.ObjectStore;
@@ -68,8 +69,9 @@
 
     @Provides
     @Singleton
-    WorkerClient workers(HttpCaller caller, DaemonSettings settings) {
-        return new HttpWorkerClient(caller, settings.timing().workerTimeoutMillis());
+    WorkerClient workers(HttpCaller caller) {
+        // The time after which a silent worker counts as lost builds on this bound.
+        return new HttpWorkerClient(caller, LeaseTiming.standard().callMillis());
     }
 
     @Provides
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
@@ -245,4 +245,10 @@
     PeerHandlers peerHandlers(ShardCalls calls, RequestRouter router, LoadPoller loads) {
         return new PeerHandlers(calls, router, loads);
     }
+
+    @Provides
+    @Singleton
+    ClusterViews clusterViews(ShardDirectory directory, ShardCalls calls, HostView hosts) {
+        return new ClusterViews(directory, calls, hosts);
+    }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobMessages.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobMessages.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.List;
 import org.hyssoprouter.errors.Refusal;
+import org.hyssoprouter.internal.placement.WorkerLoad;
 import org.hyssoprouter.lib.JobSpec;
 import org.hyssoprouter.lib.JobView;
 import org.jspecify.annotations.Nullable;
@@ -23,8 +24,18 @@
     /** Takes a worker out of use or puts it back. */
     record DrainOrder(String shard, String worker, boolean drained) {}
 
+    /** Asks for the workers of a shard. */
+    record HostQuery(String shard) {}
+
+    /** What the workers of a shard hold. */
+    record HostReply(List<WorkerLoad> loads) {}
+
     /** Outcome of a {@link DrainOrder}; null when it is in force. */
-    record DrainReply(@Nullable Refusal refusal) {}
+    record DrainReply(@Nullable Refusal refusal) {
+        static DrainReply of(Either<Refusal, Boolean> result) {
+            return new DrainReply(result.isLeft() ? result.getLeft() : null);
+        }
+    }
 
     /** State of a job, or why there is none; both null when the shard has no such job. */
     record JobReply(@Nullable JobView view, @Nullable Refusal refusal) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobRouter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobRouter.java
@@ -15,6 +15,7 @@
 import org.hyssoprouter.daemon.cell.JobMessages.JobQuery;
 import org.hyssoprouter.daemon.cell.JobMessages.JobReply;
 import org.hyssoprouter.daemon.cell.JobMessages.JobSubmit;
+import org.hyssoprouter.daemon.http.JobExplanation;
 import org.hyssoprouter.daemon.http.JobService;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.errors.Refusal;
@@ -27,7 +28,6 @@
 import org.hyssoprouter.internal.ownership.ShardRow;
 import org.hyssoprouter.lib.JobSpec;
 import org.hyssoprouter.lib.JobView;
-import org.hyssoprouter.lib.Verdict;
 import org.hyssoprouter.transport.PeerCallType;
 import org.hyssoprouter.transport.Row;
 import org.hyssoprouter.transport.TableService;
@@ -42,6 +42,7 @@
 public final class JobRouter implements JobService {
     private static final long CALL_TIMEOUT_MILLIS = 5_000;
     private static final long CLAIM_ID_MILLIS = 2_000;
+    private static final int LIST_LIMIT = 500;
     private static final long RETRY_AFTER_MILLIS = 2_000;
 
     private final ShardDirectory mDirectory;
@@ -119,10 +120,15 @@
     }
 
     @Override
-    public CompletableFuture<Either<Refusal, List<JobView>>> list(int limit) {
+    public CompletableFuture<Either<Refusal, List<JobView>>> list(String customer) {
         List<CompletableFuture<Either<CallError, JobListReply>>> calls =
-                shards().map(shard -> listAt(shard, limit)).toList();
-        return all(calls).thenApply(replies -> merge(replies, limit));
+                shards().map(shard -> listAt(shard, LIST_LIMIT)).toList();
+        return OwnerReplies.all(calls).thenApply(replies -> merge(replies, customer));
+    }
+
+    @Override
+    public CompletableFuture<Either<Refusal, JobExplanation>> explain(String job) {
+        return view(job).thenApply(result -> result.map(JobExplanations::of));
     }
 
     private CompletableFuture<Either<CallError, JobListReply>> listAt(String shard, int limit) {
@@ -138,17 +144,24 @@
     }
 
     private static Either<Refusal, List<JobView>> merge(
-            List<Either<CallError, JobListReply>> replies, int limit) {
+            List<Either<CallError, JobListReply>> replies, String customer) {
         Option<CallError> failure =
                 Option.ofOptional(
                         replies.stream().filter(Either::isLeft).map(Either::getLeft).findFirst());
         if (failure.isDefined()) {
-            return Either.left(unreachable(failure.get()));
+            return Either.left(OwnerReplies.unreachable(failure.get()));
         }
         List<JobView> views = new ArrayList<>();
         replies.forEach(reply -> views.addAll(reply.get().views()));
         views.sort(Comparator.comparingLong(JobView::acceptedWallMillis).reversed());
-        return Either.right(views.stream().limit(limit).toList());
+        return Either.right(
+                views.stream()
+                        .filter(
+                                view ->
+                                        customer.isEmpty()
+                                                || view.spec().customer().equals(customer))
+                        .limit(LIST_LIMIT)
+                        .toList());
     }
 
     private Either<Refusal, String> chooseHome(JobSpec spec) {
@@ -226,7 +239,7 @@
 
     private static Either<Refusal, JobView> resultOf(Either<CallError, JobReply> reply) {
         if (reply.isLeft()) {
-            return Either.left(unreachable(reply.getLeft()));
+            return Either.left(OwnerReplies.unreachable(reply.getLeft()));
         }
         JobView view = reply.get().view();
         Refusal refusal = reply.get().refusal();
@@ -239,7 +252,7 @@
 
     private CompletableFuture<Either<Refusal, JobView>> askEach(String job, Ask ask) {
         List<CompletableFuture<Either<CallError, JobReply>>> calls = shards().map(ask::at).toList();
-        return all(calls).thenApply(replies -> pick(job, replies));
+        return OwnerReplies.all(calls).thenApply(replies -> pick(job, replies));
     }
 
     private static Either<Refusal, JobView> pick(
@@ -255,7 +268,7 @@
             }
         }
         return Either.left(
-                failure.map(JobRouter::unreachable)
+                failure.map(OwnerReplies::unreachable)
                         .getOrElse(Refusal.notRun(RefusalCode.NOT_FOUND, "no such job: " + job)));
     }
 
@@ -263,11 +276,6 @@
         return mDirectory.shards().stream().map(ShardRow::shard);
     }
 
-    private static <T> CompletableFuture<List<T>> all(List<CompletableFuture<T>> calls) {
-        return CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
-                .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
-    }
-
     private static Refusal tableOut() {
         return Refusal.later(
                 RefusalCode.TABLE_UNAVAILABLE,
@@ -275,15 +283,6 @@
                 RETRY_AFTER_MILLIS);
     }
 
-    private static Refusal unreachable(CallError error) {
-        return new Refusal(
-                error.verdict() == Verdict.NOT_RUN ? RefusalCode.NO_OWNER : RefusalCode.TIMEOUT,
-                error.verdict(),
-                "owner of the shard: " + error.message(),
-                null,
-                RETRY_AFTER_MILLIS);
-    }
-
     /** Asks the owner of one shard about a job. */
     @FunctionalInterface
     private interface Ask {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/PeerHandlers.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/PeerHandlers.java
@@ -5,6 +5,8 @@
 import java.util.function.Function;
 import org.hyssoprouter.daemon.cell.JobMessages.DrainOrder;
 import org.hyssoprouter.daemon.cell.JobMessages.DrainReply;
+import org.hyssoprouter.daemon.cell.JobMessages.HostQuery;
+import org.hyssoprouter.daemon.cell.JobMessages.HostReply;
 import org.hyssoprouter.daemon.cell.JobMessages.JobListQuery;
 import org.hyssoprouter.daemon.cell.JobMessages.JobListReply;
 import org.hyssoprouter.daemon.cell.JobMessages.JobQuery;
@@ -46,6 +48,7 @@
         dispatcher.register(PeerCallType.JOB_VIEW, JobQuery.class, this::view);
         dispatcher.register(PeerCallType.JOB_LIST, JobListQuery.class, this::list);
         dispatcher.register(PeerCallType.DRAIN_WORKER, DrainOrder.class, this::drain);
+        dispatcher.register(PeerCallType.HOST_VIEWS, HostQuery.class, this::hosts);
         dispatcher.register(
                 PeerCallType.LOAD,
                 LoadQuery.class,
@@ -76,14 +79,23 @@
     }
 
     private CompletableFuture<JobListReply> list(JobListQuery query) {
-        Option<HostedShard> shard = mCalls.owned(query.shard());
-        if (shard.isEmpty()) {
-            // An empty list would say that the shard has no jobs.
-            return CompletableFuture.failedFuture(
-                    new IllegalStateException("shard " + query.shard() + " has moved"));
-        }
-        return CompletableFuture.completedFuture(
-                new JobListReply(shard.get().scheduler().list(query.limit())));
+        return mCalls.owned(query.shard())
+                .map(shard -> new JobListReply(shard.scheduler().list(query.limit())))
+                .map(CompletableFuture::completedFuture)
+                .getOrElse(() -> movedAway(query.shard()));
+    }
+
+    /** Fails the call, because an empty list would say that the shard has nothing. */
+    private static <T> CompletableFuture<T> movedAway(String shard) {
+        return CompletableFuture.failedFuture(
+                new IllegalStateException("shard " + shard + " has moved"));
+    }
+
+    private CompletableFuture<HostReply> hosts(HostQuery query) {
+        return mCalls.owned(query.shard())
+                .map(shard -> new HostReply(shard.scheduler().workerLoads()))
+                .map(CompletableFuture::completedFuture)
+                .getOrElse(() -> movedAway(query.shard()));
     }
 
     private CompletableFuture<DrainReply> drain(DrainOrder order) {
@@ -94,7 +106,7 @@
         return shard.get()
                 .scheduler()
                 .drainWorker(order.worker(), order.drained())
-                .thenApply(result -> new DrainReply(result.isLeft() ? result.getLeft() : null));
+                .thenApply(DrainReply::of);
     }
 
     private CompletableFuture<JobReply> at(
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigurationService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigurationService.java
@@ -12,11 +12,12 @@
 import java.util.concurrent.TimeUnit;
 import org.hyssoprouter.daemon.configuration.ConfigMessages.VersionQuery;
 import org.hyssoprouter.daemon.configuration.ConfigMessages.VersionReply;
+import org.hyssoprouter.daemon.http.ConfigService;
+import org.hyssoprouter.daemon.http.ConfigStatus;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.errors.Refusal;
 import org.hyssoprouter.errors.RefusalCode;
 import org.hyssoprouter.errors.TableError;
-import org.hyssoprouter.internal.config.ConfigCheck;
 import org.hyssoprouter.internal.config.ConfigDocument;
 import org.hyssoprouter.internal.config.ConfigHolder;
 import org.hyssoprouter.internal.config.ResolvedConfig;
@@ -38,7 +39,7 @@
  *
  * @since 0.1
  */
-public final class ConfigurationService implements Service {
+public final class ConfigurationService implements Service, ConfigService {
     private static final long ROLLOUT_MILLIS = 10_000;
     private static final long STATUS_MILLIS = 1_000;
     private static final long COMMIT_WITHIN_MILLIS = 3_000;
@@ -116,32 +117,33 @@
         mFreshness.checked(startedMillis);
     }
 
-    /**
-     * Accepts a change.
-     *
-     * @param edited document, with the version that it was edited from; 0 for the first one
-     * @return where it is in force, or every fault of the document, or why it was not accepted
-     */
-    public CompletableFuture<Either<List<Refusal>, ConfigStatus>> put(ConfigDocument edited) {
-        List<Refusal> faults = ConfigCheck.faults(edited);
-        if (!faults.isEmpty()) {
-            return CompletableFuture.completedFuture(Either.left(faults));
-        }
+    @Override
+    public CompletableFuture<Either<Refusal, ConfigStatus>> put(
+            ConfigDocument document, long expectedVersion) {
         return CompletableFuture.supplyAsync(this::readAndApply, mTimer)
-                .thenCompose(row -> row.fold(this::refused, found -> commit(edited, found)));
+                .thenCompose(
+                        row ->
+                                row.fold(
+                                        this::refused,
+                                        found -> commit(document, expectedVersion, found)));
     }
 
-    /** Returns where the version that this daemon applies is in force. */
-    public CompletableFuture<ConfigStatus> status() {
-        return rollout(mHolder.version(), STATUS_MILLIS);
+    @Override
+    public CompletableFuture<Either<Refusal, ConfigStatus>> status() {
+        return rollout(mHolder.version(), STATUS_MILLIS).thenApply(Either::right);
     }
 
-    /** Returns the document in force at this daemon. */
-    public Option<ConfigDocument> document() {
-        return mHolder.document();
+    @Override
+    public CompletableFuture<Either<Refusal, ConfigDocument>> current() {
+        return CompletableFuture.completedFuture(
+                mHolder.document()
+                        .toEither(
+                                () ->
+                                        Refusal.notRun(
+                                                RefusalCode.NOT_FOUND, "no configuration yet")));
     }
 
-    /** Returns former versions, newest first. */
+    @Override
     public CompletableFuture<Either<Refusal, List<ConfigDocument>>> history() {
         return CompletableFuture.supplyAsync(
                 () ->
@@ -193,13 +195,13 @@
                                         .peek(row -> onRow(row, startedMillis)));
     }
 
-    private CompletableFuture<Either<List<Refusal>, ConfigStatus>> commit(
-            ConfigDocument edited, Option<Row> row) {
+    private CompletableFuture<Either<Refusal, ConfigStatus>> commit(
+            ConfigDocument edited, long expectedVersion, Option<Row> row) {
         long newest =
                 row.flatMap(found -> ConfigRows.decode(found.value()))
                         .map(ConfigDocument::version)
                         .getOrElse(0L);
-        if (edited.version() != newest) {
+        if (expectedVersion != newest) {
             return refused(staleVersion(newest));
         }
         ConfigDocument accepted = edited.accepted(newest + 1, mClock.millis());
@@ -216,7 +218,7 @@
                 .thenCompose(result -> committed(accepted, result));
     }
 
-    private CompletableFuture<Either<List<Refusal>, ConfigStatus>> committed(
+    private CompletableFuture<Either<Refusal, ConfigStatus>> committed(
             ConfigDocument accepted, Either<TableError, Boolean> result) {
         if (result.isLeft()) {
             boolean lostRace = result.getLeft().kind() == TableError.Kind.CONFLICT;
@@ -269,8 +271,8 @@
         mHolder.apply(new ResolvedConfig(document));
     }
 
-    private CompletableFuture<Either<List<Refusal>, ConfigStatus>> refused(Refusal refusal) {
-        return CompletableFuture.completedFuture(Either.left(List.of(refusal)));
+    private CompletableFuture<Either<Refusal, ConfigStatus>> refused(Refusal refusal) {
+        return CompletableFuture.completedFuture(Either.left(refusal));
     }
 
     private static List<ConfigDocument> documents(List<Row> rows) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/Rollout.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/Rollout.java
@@ -7,8 +7,10 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.hyssoprouter.daemon.configuration.ConfigMessages.VersionReply;
+import org.hyssoprouter.daemon.http.ConfigStatus;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.internal.ownership.DaemonRow;
 import org.hyssoprouter.internal.ownership.ShardDirectory;
@@ -76,7 +78,8 @@
                     new ConfigStatus(mVersion, pending.isEmpty(), List.copyOf(mInForce), pending));
             return;
         }
-        mTimer.schedule(this::round, ROUND_MILLIS, TimeUnit.MILLISECONDS);
+        ScheduledFuture<?> unused =
+                mTimer.schedule(this::round, ROUND_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private List<DaemonRow> pending() {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
@@ -19,6 +19,7 @@
 import org.hyssoprouter.internal.placement.JobBook;
 import org.hyssoprouter.internal.placement.LeaseTiming;
 import org.hyssoprouter.internal.placement.QuotaView;
+import org.hyssoprouter.internal.placement.WorkerLoad;
 import org.hyssoprouter.lib.HostInfo;
 import org.hyssoprouter.lib.JobSpec;
 import org.hyssoprouter.lib.JobView;
@@ -174,6 +175,11 @@
         return mDecisions.read(() -> mBook.fleet().index().largestFree());
     }
 
+    /** Returns what each worker of the shard holds. */
+    public List<WorkerLoad> workerLoads() {
+        return mDecisions.read(mBook::workerLoads);
+    }
+
     /** Returns events that restore the durable state. */
     public List<ShardEvent> snapshotEvents() {
         return mDecisions.read(mBook::snapshotEvents);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobBook.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobBook.java
@@ -303,6 +303,21 @@
         return mStore.drained().contains(worker);
     }
 
+    /** Returns what each worker holds. */
+    public List<WorkerLoad> workerLoads() {
+        return mFleet.workers().stream().map(this::loadOf).toList();
+    }
+
+    private WorkerLoad loadOf(String worker) {
+        RoomLedger ledger = mFleet.ledger();
+        return new WorkerLoad(
+                worker,
+                isDrained(worker),
+                mFleet.isUsable(worker),
+                ledger.capacity(worker).minus(ledger.free(worker)),
+                mFleet.attemptsOn(worker).size());
+    }
+
     /** Returns the workers on which some attempt may run. */
     public List<String> workersInUse() {
         return mStore.jobs().stream()
