--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ApiModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ApiModule.java
@@ -10,6 +10,7 @@
 import org.hyssoprouter.daemon.http.ApiServer;
 import org.hyssoprouter.daemon.http.ApiServices;
 import org.hyssoprouter.daemon.http.RequestObserver;
+import org.hyssoprouter.daemon.metrics.RequestMeters;
 import org.hyssoprouter.daemon.request.RequestRouter;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
 import org.hyssoprouter.internal.config.ConfigView;
@@ -25,7 +26,7 @@
     @Provides
     @Singleton
     RequestObserver observer() {
-        return new NoMeters();
+        return new RequestMeters();
     }
 
     @Provides
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Hyssopd.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Hyssopd.java
@@ -8,6 +8,7 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.hyssoprouter.daemon.log.LogSetup;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
 import org.hyssoprouter.daemon.settings.SettingsFault;
 import org.hyssoprouter.daemon.settings.SettingsLoader;
@@ -53,6 +54,7 @@
     }
 
     private static void run(DaemonSettings settings) {
+        LogSetup.install();
         Daemon daemon = DaggerDaemonComponent.factory().create(settings).daemon();
         Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
         daemon.start();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
@@ -131,9 +131,18 @@
             HostListView hosts,
             PeerTransport peers,
             OwnedShard.Factory factory,
+            WorkerClient workers,
             MonotonicClock clock) {
         return new OwnershipService(
-                ownershipSettings(settings), self, table, objects, hosts, peers, factory, clock);
+                ownershipSettings(settings),
+                self,
+                table,
+                objects,
+                hosts,
+                peers,
+                factory,
+                new WorkerReach(workers),
+                clock);
     }
 
     private static OwnershipSettings ownershipSettings(DaemonSettings settings) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/PeerHandlers.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/PeerHandlers.java
@@ -54,6 +54,7 @@
                 LoadQuery.class,
                 query -> CompletableFuture.completedFuture(mLoads.ownLoad()));
         dispatcher.registerRaw(PeerCallType.TABLE_STATUS, ownership::onTableStatus);
+        dispatcher.registerRaw(PeerCallType.HANDOVER, ownership::onHandover);
     }
 
     private void forward(PeerDispatcher dispatcher, PeerCallType type) {
