--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
@@ -12,6 +12,7 @@
 import org.hyssoprouter.daemon.ownership.HostListView;
 import org.hyssoprouter.daemon.ownership.OwnershipService;
 import org.hyssoprouter.daemon.ownership.OwnershipSettings;
+import org.hyssoprouter.daemon.ownership.WorkerReach;
 import org.hyssoprouter.daemon.request.RequestRouter;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
 import org.hyssoprouter.internal.config.ConfigHolder;
