Let a worker refuse a lease renewal that is delivered late

A renewal that was given up could still reach its worker and extend the lease past the moment at which the owner starts the tasks elsewhere; only an assumed bound of 1 s on late delivery stood against that. A renewal now carries a not-after instant on the worker's own clock, as a start does. The first one after a takeover, and one to a worker whose lease has lapsed (it may have been started anew with another clock), carry none.

Ruled out: sending shorter grants only; one late delivery of the first full grant is enough.

Also: an exception of the worker port becomes a failed call, and one of a tick is logged; either would have left a worker's lease in flight for good.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/WorkerReach.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/WorkerReach.java
@@ -31,7 +31,7 @@
         CompletableFuture<Boolean> any = CompletableFuture.completedFuture(false);
         for (HostInfo host : hosts.subList(0, Math.min(MAX_ASKED, hosts.size()))) {
             LeaseRenewal probe =
-                    new LeaseRenewal(HostListView.shardOf(host), NO_EPOCH, 0, List.of());
+                    new LeaseRenewal(HostListView.shardOf(host), NO_EPOCH, 0, 0, List.of());
             CompletableFuture<Boolean> one =
                     mWorkers.renew(host.address(), probe).thenApply(WorkerReach::isAnswer);
             any = any.thenCombine(one, Boolean::logicalOr);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/Outbox.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/Outbox.java
@@ -3,13 +3,15 @@
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 
 /**
  * Calls to the outside, made one after the other in the order in which they were decided. Steps are
  * added under the shard's lock and run after it is released, by whichever thread drains first.
  */
 final class Outbox {
-    private static final System.Logger LOGGER = System.getLogger(Outbox.class.getName());
+    private static final EventLogger LOGGER = EventLogger.of(Outbox.class);
 
     private final Queue<Runnable> mSteps = new ConcurrentLinkedQueue<>();
     private final AtomicInteger mDrains = new AtomicInteger();
@@ -47,7 +49,7 @@
             step.run();
         } catch (RuntimeException e) {
             // One failed call must not keep back the calls behind it.
-            LOGGER.log(System.Logger.Level.ERROR, "a call of the shard's outbox failed", e);
+            LOGGER.log(LogEvent.TASK_FAILED, e, "outbox of placement", e.getMessage());
         }
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.daemon.placement.WorkerLinks.Renewal;
 import org.hyssoprouter.errors.Refusal;
 import org.hyssoprouter.internal.config.ConfigView;
@@ -37,6 +39,7 @@
  * @since 0.1
  */
 public final class ShardScheduler implements Service {
+    private static final EventLogger LOGGER = EventLogger.of(ShardScheduler.class);
     private static final long TICK_MILLIS = 200;
     private static final long QUIET_POLL_MILLIS = 20;
     private static final int PLACEMENTS_PER_STEP = 256;
@@ -116,7 +119,9 @@
 
     @Override
     public void start() {
-        mTick = mTimer.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        mTick =
+                mTimer.scheduleWithFixedDelay(
+                        this::tickAndLog, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     @Override
@@ -213,6 +218,15 @@
                 mTimer.schedule(() -> awaitQuiet(quiet), QUIET_POLL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Keeps the timer going: it drops a task that throws. */
+    private void tickAndLog() {
+        try {
+            tick();
+        } catch (RuntimeException e) {
+            LOGGER.log(LogEvent.TASK_FAILED, e, "placement " + mContext.shard(), e.getMessage());
+        }
+    }
+
     /** Follows the host list, renews leases that are due, and places what waits. */
     void tick() {
         long revision = mHosts.revision();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerCalls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerCalls.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.hyssoprouter.daemon.placement.WorkerLinks.Renewal;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.errors.TableError;
@@ -105,9 +106,10 @@
                         mContext.shard(),
                         mContext.epoch(),
                         renewal.leaseMillis(),
+                        renewal.notAfterMillis(),
                         renewal.acknowledged());
         var unused =
-                mWorkers.renew(renewal.address(), message)
+                guard(() -> mWorkers.renew(renewal.address(), message))
                         .whenComplete(
                                 (result, error) -> renewed(renewal, orUnknown(result, error)));
     }
@@ -188,7 +190,7 @@
         }
         mOpenStarts.incrementAndGet();
         var unused =
-                mWorkers.start(addressOf(start.worker()), order.get())
+                guard(() -> mWorkers.start(addressOf(start.worker()), order.get()))
                         .whenComplete((result, error) -> started(start, orUnknown(result, error)));
     }
 
@@ -260,17 +262,22 @@
         }
         AttemptId attempt = stop.attempt();
         var unused =
-                mWorkers.stop(
-                                address,
-                                mContext.shard(),
-                                mContext.epoch(),
-                                attempt.task(),
-                                attempt.attempt(),
-                                stop.mode())
+                guard(() -> sendStop(address, stop))
                         .whenComplete(
                                 (result, error) -> stopped(attempt, orUnknown(result, error)));
     }
 
+    private CompletableFuture<Either<CallError, TaskReport>> sendStop(
+            String address, PlacementAction.Stop stop) {
+        return mWorkers.stop(
+                address,
+                mContext.shard(),
+                mContext.epoch(),
+                stop.attempt().task(),
+                stop.attempt().attempt(),
+                stop.mode());
+    }
+
     private void stopped(AttemptId attempt, Either<CallError, TaskReport> result) {
         if (result.isLeft() || !result.get().hasEnded()) {
             // The order is repeated until the attempt is known to have ended.
@@ -306,6 +313,16 @@
         }
     }
 
+    /** Turns an exception of the port into a failed call, so that its outcome is still handled. */
+    private static <T> CompletableFuture<Either<CallError, T>> guard(
+            Supplier<CompletableFuture<Either<CallError, T>>> call) {
+        try {
+            return call.get();
+        } catch (RuntimeException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
     private static <T> Either<CallError, T> orUnknown(
             Either<CallError, T> result, Throwable error) {
         if (error == null) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLink.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLink.java
@@ -108,6 +108,18 @@
         mAcknowledged.addAll(attempts);
     }
 
+    /**
+     * Returns the instant on the worker's clock until which a renewal sent now is valid. A renewal
+     * that is delivered later must not move the lapse. 0 before the first answer, and after a
+     * lapse, because a worker that was started anew may have another clock.
+     */
+    long renewalNotAfterMillis(long nowMillis) {
+        if (!mLease.hasAnswered() || mLease.isPastLapse(nowMillis)) {
+            return 0;
+        }
+        return mWorkerMillis + (nowMillis - mWorkerMillisSentMillis) + mTiming.deliveryMillis();
+    }
+
     /** Returns the instant on the worker's clock until which a start sent now is valid. */
     long notAfterMillis(long nowMillis) {
         return mWorkerMillis + (nowMillis - mWorkerMillisSentMillis) + mTiming.notAfterMillis();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLinks.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/WorkerLinks.java
@@ -167,7 +167,10 @@
             long grantMillis = link.lease().grantMillis(nowMillis);
             List<AttemptId> acknowledged = link.renewalSent(used, grantMillis, nowMillis);
             String address = link.host().address();
-            due.add(new Renewal(worker, address, grantMillis, acknowledged, nowMillis));
+            long notAfterMillis = link.renewalNotAfterMillis(nowMillis);
+            due.add(
+                    new Renewal(
+                            worker, address, grantMillis, notAfterMillis, acknowledged, nowMillis));
         }
         return due;
     }
@@ -187,12 +190,14 @@
      * A renewal to send.
      *
      * @param leaseMillis time for which it grants the lease
+     * @param notAfterMillis instant on the worker's clock after which it is refused, or 0
      * @param sentMillis monotonic time before it is sent
      */
     record Renewal(
             String worker,
             String address,
             long leaseMillis,
+            long notAfterMillis,
             List<AttemptId> acknowledged,
             long sentMillis) {}
 }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/placement/FakeWorkers.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/placement/FakeWorkers.java
@@ -52,6 +52,9 @@
         if (renewal.epoch() < worker.mEpoch) {
             return done(Either.left(CallError.notRun(CallError.Kind.REFUSED, "epoch")));
         }
+        if (renewal.notAfterMillis() > 0 && mNowMillis > renewal.notAfterMillis()) {
+            return done(Either.left(CallError.notRun(CallError.Kind.REFUSED, "late")));
+        }
         worker.mEpoch = renewal.epoch();
         worker.mLeaseUntilMillis = mNowMillis + renewal.leaseMillis();
         renewal.acknowledged().forEach(a -> worker.mTasks.remove(a.task() + "#" + a.attempt()));
--- a/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/worker/WorkerState.java
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/worker/WorkerState.java
@@ -59,12 +59,15 @@
     /**
      * Renews a lease.
      *
-     * @throws RefusedException if the epoch is older than one seen
+     * @throws RefusedException if the epoch is older than one seen, or the renewal is late
      */
     synchronized WorkerStatus renew(LeaseRenewal renewal) throws RefusedException {
         advance();
         admit(renewal.shard(), renewal.epoch());
         long nowMillis = mClock.millis();
+        if (renewal.notAfterMillis() > 0 && nowMillis > renewal.notAfterMillis()) {
+            throw new RefusedException("not-after");
+        }
         lease(renewal.shard()).renew(renewal.epoch(), nowMillis + renewal.leaseMillis());
         for (AttemptId attempt : renewal.acknowledged()) {
             TaskRun run = mRuns.get(attempt);
--- a/org.hyssoprouter.standin/src/test/java/org/hyssoprouter/standin/worker/WorkerStateTest.java
+++ b/org.hyssoprouter.standin/src/test/java/org/hyssoprouter/standin/worker/WorkerStateTest.java
@@ -65,17 +65,29 @@
         assertEquals(State.STOPPED, mState.start(order(1, 0, 1), false).state());
     }
 
+    @Test
+    void lateRenewalGrantsNothing() throws Exception {
+        renew(1);
+        mState.start(order(1, 0, 1), false);
+        mNowMillis.addAndGet(50);
+        LeaseRenewal late = new LeaseRenewal("s", 1, 100, mNowMillis.get() - 1, List.of());
+        assertThrows(RefusedException.class, () -> mState.renew(late));
+        mNowMillis.addAndGet(50);
+        assertEquals(State.LEASE_LAPSED, renew(1).tasks().get(0).state());
+    }
+
     @Test
     void endedAttemptIsForgottenOnceAcknowledged() throws Exception {
         renew(1);
         mState.start(order(1, 0, 1), true);
         assertEquals(State.FAILED, renew(1).tasks().get(0).state());
         var ended = new LeaseRenewal.AttemptId(new TaskId("j", 0), 1);
-        assertEquals(0, mState.renew(new LeaseRenewal("s", 1, 100, List.of(ended))).tasks().size());
+        assertEquals(
+                0, mState.renew(new LeaseRenewal("s", 1, 100, 0, List.of(ended))).tasks().size());
     }
 
     private WorkerStatus renew(long epoch) throws RefusedException {
-        return mState.renew(new LeaseRenewal("s", epoch, 100, List.of()));
+        return mState.renew(new LeaseRenewal("s", epoch, 100, 0, List.of()));
     }
 
     private static StartOrder order(long epoch, int index, int attempt) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/WorkerLease.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/WorkerLease.java
@@ -88,6 +88,11 @@
         return mSettledBySilence && !mInFlight && nowMillis >= mLapseMillis;
     }
 
+    /** Returns whether the last instant at which a known grant can end has passed. */
+    public boolean isPastLapse(long nowMillis) {
+        return nowMillis >= mLapseMillis;
+    }
+
     /** Lets silence settle the lease from now on, because the platform has dropped the worker. */
     public void settleBySilence() {
         mSettledBySilence = true;
