Measure placement, and place as many jobs in a pass as find room

bin/measure decisions showed that a pass ended after 64 jobs also when all of them found room, so that a burst of small jobs waited for the next tick: 64 jobs each 200 ms. A pass now ends after 64 jobs that found none, and walks the queue with a cursor in place of a copy.

--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
@@ -6,6 +6,8 @@
 import org.apache.commons.cli.Option;
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
+import org.hyssoprouter.bench.placement.DecisionsCase;
+import org.hyssoprouter.bench.placement.PackingCase;
 
 /**
  * Runs one of the measurements by its name; {@code bin/measure} is its front.
@@ -14,7 +16,12 @@
  */
 public final class Measure {
     private static final List<MeasureCase> CASES =
-            List.of(new FaultsCase(), new JournalCase(), new TakeoverCase());
+            List.of(
+                    new FaultsCase(),
+                    new JournalCase(),
+                    new TakeoverCase(),
+                    new DecisionsCase(),
+                    new PackingCase());
 
     private static final String DEFAULT_SEED = "1";
     private static final String DEFAULT_SECONDS = "30";
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/placement/DecisionsCase.java
@@ -0,0 +1,226 @@
+package org.hyssoprouter.bench.placement;
+
+import io.vavr.control.Option;
+import java.io.PrintStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Random;
+import org.HdrHistogram.Histogram;
+import org.hyssoprouter.bench.MeasureCase;
+import org.hyssoprouter.bench.MeasureOptions;
+import org.hyssoprouter.internal.journal.ShardEvent.JobAccepted;
+import org.hyssoprouter.internal.placement.Assignment;
+import org.hyssoprouter.internal.placement.Changes;
+import org.hyssoprouter.internal.placement.Fleet;
+import org.hyssoprouter.internal.placement.JobBook;
+import org.hyssoprouter.internal.placement.PackPolicy;
+import org.hyssoprouter.internal.placement.PlacementAction;
+import org.hyssoprouter.internal.placement.PlacementPolicy;
+import org.hyssoprouter.internal.placement.QuotaView;
+import org.hyssoprouter.internal.placement.SpreadPolicy;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.lib.WorkKind;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+import org.hyssoprouter.transport.TaskReport;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * Time of a placement decision in memory on a shard that stays nearly full: one task ends, one job
+ * of one task arrives, and the time until it has a worker is taken.
+ *
+ * @since 0.1
+ */
+public final class DecisionsCase implements MeasureCase {
+    private static final int[] WORKERS = {30, 300, 2_200};
+    private static final double TASKS_PER_WORKER = 10_000 / 2_200.0;
+    private static final int WARM_UP = 20_000;
+    private static final int DECISIONS = 50_000;
+    private static final int CORES = 64;
+    private static final long MEMORY_BYTES = 256 * Loads.GIB;
+    // A tenth of a worker more or less, so that about five tasks fill one.
+    private static final Room TASK = new Room(12_000, 48 * Loads.GIB, 0);
+    private static final Room QUOTA = new Room(1L << 50, 1L << 60, 1_000_000);
+    private static final QuotaView QUOTAS = customer -> Option.some(QUOTA);
+
+    /** Creates the case. */
+    public DecisionsCase() {}
+
+    @Override
+    public String name() {
+        return "decisions";
+    }
+
+    @Override
+    public String description() {
+        return "placement decisions a second and their p50 and p99, against first fit";
+    }
+
+    @Override
+    public boolean run(MeasureOptions options, PrintStream out) throws Exception {
+        List<Row> rows = new ArrayList<>();
+        for (int workers : WORKERS) {
+            rows.add(policy("first-fit", new FirstFitPolicy(), workers, options.seed()));
+            rows.add(policy("pack", new PackPolicy(), workers, options.seed()));
+            rows.add(policy("spread", new SpreadPolicy(), workers, options.seed()));
+            rows.add(book(workers, options.seed()));
+        }
+        out.printf(
+                "%-10s %8s %8s %12s %10s %10s %10s %14s%n",
+                "what",
+                "workers",
+                "tasks",
+                "decisions/s",
+                "p50 us",
+                "p99 us",
+                "max us",
+                "heap B/task");
+        for (Row row : rows) {
+            out.printf(
+                    "%-10s %8d %8d %12d %10.1f %10.1f %10.1f %14d%n",
+                    row.what(),
+                    row.workers(),
+                    row.tasks(),
+                    row.decisionsPerSecond(),
+                    row.p50Micros(),
+                    row.p99Micros(),
+                    row.maxMicros(),
+                    row.heapBytesPerTask());
+        }
+        out.println(MessageCodec.json().writeValueAsString(new Report(options.seed(), rows)));
+        return true;
+    }
+
+    private static Room size(Random random) {
+        double factor = 0.9 + random.nextDouble() / 5;
+        return new Room(
+                (long) (TASK.cpuMillis() * factor), (long) (TASK.memoryBytes() * factor), 0);
+    }
+
+    private static Row policy(String what, PlacementPolicy policy, int workers, long seed) {
+        Random random = new Random(seed);
+        long emptyBytes = usedBytes();
+        Fleet fleet = new Fleet();
+        Loads.addWorkers(fleet, workers, CORES, MEMORY_BYTES);
+        int tasks = (int) (workers * TASKS_PER_WORKER);
+        List<Assignment> running = new ArrayList<>();
+        for (int i = 0; i < tasks; i++) {
+            running.addAll(Loads.placeOne(policy, fleet, Loads.attempt("fill", i), size(random)));
+        }
+        long heapBytes = (usedBytes() - emptyBytes) / Math.max(1, tasks);
+        Histogram nanos = new Histogram(3);
+        int placed = running.size();
+        for (int i = 0; i < WARM_UP + DECISIONS; i++) {
+            Assignment ended = takeRandom(running, random);
+            fleet.release(ended.worker(), ended.attempt());
+            Room room = size(random);
+            AttemptId attempt = Loads.attempt("task", i);
+            long before = System.nanoTime();
+            List<Assignment> chosen = Loads.placeOne(policy, fleet, attempt, room);
+            long after = System.nanoTime();
+            if (i >= WARM_UP) {
+                nanos.recordValue(after - before);
+            }
+            running.addAll(chosen.isEmpty() ? refill(fleet, ended) : chosen);
+        }
+        return row(what, workers, placed, nanos, heapBytes);
+    }
+
+    /** Puts back what ended when the new task found no room, so that the load stays the same. */
+    private static List<Assignment> refill(Fleet fleet, Assignment ended) {
+        fleet.hold(ended.worker(), ended.attempt(), ended.room());
+        return List.of(ended);
+    }
+
+    private static <T> T takeRandom(List<T> list, Random random) {
+        int at = random.nextInt(list.size());
+        T last = list.remove(list.size() - 1);
+        return at == list.size() ? last : list.set(at, last);
+    }
+
+    /** Measures the whole way: accept the job, choose, record the events, hand out the start. */
+    private static Row book(int workers, long seed) {
+        Random random = new Random(seed);
+        long emptyBytes = usedBytes();
+        JobBook book = new JobBook("s");
+        Loads.addWorkers(book.fleet(), workers, CORES, MEMORY_BYTES);
+        int tasks = (int) (workers * TASKS_PER_WORKER);
+        Deque<AttemptId> running = new ArrayDeque<>();
+        for (int i = 0; i < tasks; i++) {
+            submit(book, "fill" + i, size(random));
+        }
+        book.place(1, 1, tasks, QUOTAS);
+        int placed = started(book, running);
+        long heapBytes = (usedBytes() - emptyBytes) / Math.max(1, tasks);
+        Histogram nanos = new Histogram(3);
+        for (int i = 0; i < WARM_UP + DECISIONS; i++) {
+            long now = 1L + i / 10;
+            book.end(running.remove(), TaskReport.State.SUCCEEDED, "", now, now);
+            book.takeChanges();
+            long before = System.nanoTime();
+            submit(book, "task" + i, size(random));
+            book.place(now, now, 1, QUOTAS);
+            started(book, running);
+            long after = System.nanoTime();
+            if (i >= WARM_UP) {
+                nanos.recordValue(after - before);
+            }
+        }
+        return row("whole book", workers, placed, nanos, heapBytes);
+    }
+
+    private static void submit(JobBook book, String id, Room room) {
+        JobSpec spec =
+                new JobSpec(id, "c", WorkKind.BATCH, TrafficClass.NORMAL, 1, room, 0, 3, null, "x");
+        book.accept(new JobAccepted(spec, 1), 1);
+    }
+
+    private static int started(JobBook book, Deque<AttemptId> running) {
+        Changes changes = book.takeChanges();
+        for (PlacementAction action : changes.actions()) {
+            running.add(action.attempt());
+            book.started(action.attempt());
+        }
+        return changes.actions().size();
+    }
+
+    private static Row row(
+            String what, int workers, int tasks, Histogram nanos, long heapBytesPerTask) {
+        double mean = nanos.getMean();
+        return new Row(
+                what,
+                workers,
+                tasks,
+                Math.round(1e9 / mean),
+                nanos.getValueAtPercentile(50) / 1e3,
+                nanos.getValueAtPercentile(99) / 1e3,
+                nanos.getMaxValue() / 1e3,
+                heapBytesPerTask);
+    }
+
+    private static long usedBytes() {
+        System.gc();
+        Runtime runtime = Runtime.getRuntime();
+        return runtime.totalMemory() - runtime.freeMemory();
+    }
+
+    /**
+     * Figures of one policy at one size.
+     *
+     * @param heapBytesPerTask heap of the whole structure, workers included, for each task
+     */
+    private record Row(
+            String what,
+            int workers,
+            int tasks,
+            long decisionsPerSecond,
+            double p50Micros,
+            double p99Micros,
+            double maxMicros,
+            long heapBytesPerTask) {}
+
+    private record Report(long seed, List<Row> rows) {}
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/placement/Loads.java
@@ -0,0 +1,62 @@
+package org.hyssoprouter.bench.placement;
+
+import java.util.List;
+import java.util.Random;
+import org.hyssoprouter.internal.placement.Assignment;
+import org.hyssoprouter.internal.placement.Fleet;
+import org.hyssoprouter.internal.placement.PlacementPolicy;
+import org.hyssoprouter.internal.placement.PlacementRequest;
+import org.hyssoprouter.internal.placement.TaskSpread;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TaskId;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+
+/** Workers and tasks of the sizes in the users' brief. */
+final class Loads {
+    static final long GIB = 1L << 30;
+    static final int WORKERS_PER_RACK = 8;
+
+    private Loads() {}
+
+    /** Adds usable workers of one size, eight to a rack; every eighth has two accelerators. */
+    static void addWorkers(Fleet fleet, int count, int cores, long memoryBytes) {
+        for (int i = 0; i < count; i++) {
+            String name = name(i);
+            int accelerators = i % WORKERS_PER_RACK == 0 ? 2 : 0;
+            Room capacity = new Room(cores * 1_000L, memoryBytes, accelerators);
+            fleet.putWorker(name, "rack" + i / WORKERS_PER_RACK, capacity);
+            fleet.setUsable(name, true);
+        }
+    }
+
+    static String name(int worker) {
+        return String.format("w%05d", worker);
+    }
+
+    /** Returns a skewed size: most tasks are small, few take a large part of one resource. */
+    static Room skewed(Random random, int cores, long memoryBytes) {
+        double cpuShare = share(random);
+        double memoryShare = share(random);
+        int accelerators = random.nextInt(20) == 0 ? 1 : 0;
+        return new Room(
+                Math.max(100, (long) (cores * 1_000L * cpuShare)),
+                Math.max(1 << 20, (long) (memoryBytes * memoryShare)),
+                accelerators);
+    }
+
+    /** Returns a share between 0.01 and 0.6 with a Pareto tail. */
+    private static double share(Random random) {
+        double pareto = 0.02 / Math.pow(1 - random.nextDouble(), 1 / 1.2);
+        return Math.min(0.6, Math.max(0.01, pareto));
+    }
+
+    static AttemptId attempt(String job, int index) {
+        return new AttemptId(new TaskId(job, index), 1);
+    }
+
+    static List<Assignment> placeOne(
+            PlacementPolicy policy, Fleet fleet, AttemptId attempt, Room room) {
+        TaskSpread spread = new TaskSpread();
+        return policy.place(new PlacementRequest(List.of(attempt), room, spread, ""), fleet);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/placement/PackingCase.java
@@ -0,0 +1,276 @@
+package org.hyssoprouter.bench.placement;
+
+import io.vavr.control.Option;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.hyssoprouter.bench.MeasureCase;
+import org.hyssoprouter.bench.MeasureOptions;
+import org.hyssoprouter.internal.journal.ShardEvent.JobAccepted;
+import org.hyssoprouter.internal.placement.Assignment;
+import org.hyssoprouter.internal.placement.Fleet;
+import org.hyssoprouter.internal.placement.JobBook;
+import org.hyssoprouter.internal.placement.PackPolicy;
+import org.hyssoprouter.internal.placement.PlacementAction;
+import org.hyssoprouter.internal.placement.PlacementPolicy;
+import org.hyssoprouter.lib.JobSpec;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.lib.WorkKind;
+import org.hyssoprouter.transport.LeaseRenewal.AttemptId;
+import org.hyssoprouter.transport.TaskReport;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * How much of 30 workers skewed sizes fill before tasks find no room, and how often true usage
+ * exceeds a worker when declared sizes are wrong.
+ *
+ * @since 0.1
+ */
+public final class PackingCase implements MeasureCase {
+    private static final int WORKERS = 30;
+    private static final int OFFERED = 3_000;
+    private static final int SEEDS = 10;
+    private static final int COMMANDS = 20;
+    private static final int ROUNDS = 200;
+    private static final Room QUOTA = new Room(1L << 50, 1L << 60, 1_000_000);
+
+    /** Creates the case. */
+    public PackingCase() {}
+
+    @Override
+    public String name() {
+        return "packing";
+    }
+
+    @Override
+    public String description() {
+        return "room filled by skewed sizes, and overfills under wrong ones, against first fit";
+    }
+
+    @Override
+    public boolean run(MeasureOptions options, PrintStream out) throws Exception {
+        List<Row> rows = new ArrayList<>();
+        for (Size size : List.of(new Size("16c/32G", 16, 32), new Size("64c/256G", 64, 256))) {
+            rows.add(skewed("first-fit", new FirstFitPolicy(), size, options.seed()));
+            rows.add(skewed("best fit", new PackPolicy(), size, options.seed()));
+        }
+        out.printf(
+                "skewed sizes, %d workers, %d tasks offered, mean of %d seeds%n",
+                WORKERS, OFFERED, SEEDS);
+        out.printf(
+                "%-10s %-10s %12s %8s %8s %12s %10s%n",
+                "policy", "workers", "until first", "cpu %", "mem %", "accel. tasks", "tasks");
+        for (Row row : rows) {
+            out.printf(
+                    "%-10s %-10s %12.1f %8.1f %8.1f %12.1f %10.1f%n",
+                    row.policy(),
+                    row.workers(),
+                    row.tasksUntilFirstMiss(),
+                    row.cpuPercent(),
+                    row.memoryPercent(),
+                    row.acceleratorTasks(),
+                    row.tasks());
+        }
+        List<WrongRow> wrong =
+                List.of(
+                        wrongFirstFit(options.seed()),
+                        wrongBook("best fit, declared", false, options.seed()),
+                        wrongBook("best fit, learned", true, options.seed()));
+        out.printf("wrong sizes, %d commands off by up to 4 times, %d rounds%n", COMMANDS, ROUNDS);
+        out.printf("%-22s %16s %12s%n", "sizes", "overfilled w-rounds", "tasks run");
+        for (WrongRow row : wrong) {
+            out.printf("%-22s %16d %12d%n", row.sizes(), row.overfilled(), row.tasks());
+        }
+        out.println(
+                MessageCodec.json().writeValueAsString(new Report(options.seed(), rows, wrong)));
+        return true;
+    }
+
+    private static Row skewed(String name, PlacementPolicy policy, Size size, long seed) {
+        double[] sums = new double[5];
+        for (int i = 0; i < SEEDS; i++) {
+            Random random = new Random(seed * 1_000 + i);
+            Fleet fleet = new Fleet();
+            Loads.addWorkers(fleet, WORKERS, size.cores(), size.gib() * Loads.GIB);
+            Filled filled = fill(policy, fleet, size, random);
+            sums[0] += filled.mUntilFirstMiss;
+            sums[1] += 100.0 * filled.mUsed.cpuMillis() / (1_000L * WORKERS * size.cores());
+            sums[2] += 100.0 * filled.mUsed.memoryBytes() / (Loads.GIB * WORKERS * size.gib());
+            sums[3] += filled.mUsed.accelerators();
+            sums[4] += filled.mTasks;
+        }
+        return new Row(
+                name,
+                size.name(),
+                sums[0] / SEEDS,
+                sums[1] / SEEDS,
+                sums[2] / SEEDS,
+                sums[3] / SEEDS,
+                sums[4] / SEEDS);
+    }
+
+    private static Filled fill(PlacementPolicy policy, Fleet fleet, Size size, Random random) {
+        Filled filled = new Filled();
+        for (int i = 0; i < OFFERED; i++) {
+            Room room = Loads.skewed(random, size.cores(), size.gib() * Loads.GIB);
+            if (!Loads.placeOne(policy, fleet, Loads.attempt("j", i), room).isEmpty()) {
+                filled.mUsed = filled.mUsed.plus(room);
+                filled.mTasks++;
+            } else if (filled.mUntilFirstMiss == 0) {
+                filled.mUntilFirstMiss = i;
+            }
+        }
+        return filled;
+    }
+
+    private static WrongRow wrongFirstFit(long seed) {
+        Commands commands = new Commands(seed);
+        Fleet fleet = new Fleet();
+        Loads.addWorkers(fleet, WORKERS, 16, 32 * Loads.GIB);
+        Usage usage = new Usage();
+        FirstFitPolicy policy = new FirstFitPolicy();
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int i = 0; i < COMMANDS; i++) {
+                AttemptId attempt = Loads.attempt("c" + i, round);
+                Room declared = commands.mDeclared.get(i);
+                for (Assignment a : Loads.placeOne(policy, fleet, attempt, declared)) {
+                    usage.start(attempt, a.worker(), commands.mTrue.get(i));
+                }
+            }
+            usage.count();
+            for (AttemptId ended : usage.seventh(commands.mRandom)) {
+                fleet.release(usage.end(ended), ended);
+            }
+        }
+        return new WrongRow("first-fit, declared", usage.mOverfilled, usage.mStarted);
+    }
+
+    /** Runs the whole book, which learns only if it is told what ended tasks used. */
+    private static WrongRow wrongBook(String name, boolean learns, long seed) {
+        Commands commands = new Commands(seed);
+        JobBook book = new JobBook("s");
+        Loads.addWorkers(book.fleet(), WORKERS, 16, 32 * Loads.GIB);
+        Usage usage = new Usage();
+        for (int round = 0; round < ROUNDS; round++) {
+            for (int i = 0; i < COMMANDS; i++) {
+                book.accept(new JobAccepted(commands.spec(i, round), 1), round);
+            }
+            book.place(round, round, 1_000, customer -> Option.some(QUOTA));
+            for (PlacementAction action : book.takeChanges().actions()) {
+                String job = action.attempt().task().job();
+                int command = Integer.parseInt(job.substring(1, job.indexOf('-')));
+                usage.start(action.attempt(), action.worker(), commands.mTrue.get(command));
+                book.started(action.attempt());
+            }
+            usage.count();
+            for (AttemptId ended : usage.seventh(commands.mRandom)) {
+                Room used = usage.mRooms.getOrDefault(ended, Room.NONE);
+                Room peak = learns ? used : Room.NONE;
+                usage.end(ended);
+                book.end(ended, TaskReport.State.SUCCEEDED, peak, "", round, round);
+            }
+            book.takeChanges();
+        }
+        return new WrongRow(name, usage.mOverfilled, usage.mStarted);
+    }
+
+    private record Size(String name, int cores, long gib) {}
+
+    private static final class Filled {
+        private Room mUsed = Room.NONE;
+        private int mTasks;
+        private int mUntilFirstMiss;
+    }
+
+    /** Commands whose declared sizes are wrong by a factor between a quarter and four. */
+    private static final class Commands {
+        private final Random mRandom;
+        private final List<Room> mDeclared = new ArrayList<>();
+        private final List<Room> mTrue = new ArrayList<>();
+
+        Commands(long seed) {
+            mRandom = new Random(seed);
+            for (int i = 0; i < COMMANDS; i++) {
+                Room room = new Room(500 + mRandom.nextInt(2_500), Loads.GIB * 2, 0);
+                double factor = Math.pow(4, 2 * mRandom.nextDouble() - 1);
+                mDeclared.add(room);
+                mTrue.add(
+                        new Room(
+                                (long) (room.cpuMillis() * factor),
+                                (long) (room.memoryBytes() * factor),
+                                0));
+            }
+        }
+
+        JobSpec spec(int command, int round) {
+            return new JobSpec(
+                    "c" + command + "-" + round,
+                    "c",
+                    WorkKind.BATCH,
+                    TrafficClass.NORMAL,
+                    1,
+                    mDeclared.get(command),
+                    0,
+                    3,
+                    null,
+                    "command" + command);
+        }
+    }
+
+    /** What runs where, by its true usage. */
+    private static final class Usage {
+        private final Map<AttemptId, Room> mRooms = new HashMap<>();
+        private final Map<AttemptId, String> mWorkers = new HashMap<>();
+        private final List<AttemptId> mOrder = new ArrayList<>();
+        private int mOverfilled;
+        private int mStarted;
+
+        void start(AttemptId attempt, String worker, Room room) {
+            mRooms.put(attempt, room);
+            mWorkers.put(attempt, worker);
+            mOrder.add(attempt);
+            mStarted++;
+        }
+
+        String end(AttemptId attempt) {
+            mRooms.remove(attempt);
+            mOrder.remove(attempt);
+            String worker = mWorkers.remove(attempt);
+            return worker == null ? "" : worker;
+        }
+
+        void count() {
+            Map<String, Room> used = new HashMap<>();
+            mWorkers.forEach(
+                    (attempt, worker) ->
+                            used.merge(
+                                    worker, mRooms.getOrDefault(attempt, Room.NONE), Room::plus));
+            Room capacity = new Room(16_000, 32 * Loads.GIB, 0);
+            for (Room room : used.values()) {
+                mOverfilled += room.fitsIn(capacity) ? 0 : 1;
+            }
+        }
+
+        /** Returns a random seventh of what runs, so that the shard fills up and stays full. */
+        List<AttemptId> seventh(Random random) {
+            return mOrder.stream().filter(attempt -> random.nextInt(7) == 0).toList();
+        }
+    }
+
+    private record Row(
+            String policy,
+            String workers,
+            double tasksUntilFirstMiss,
+            double cpuPercent,
+            double memoryPercent,
+            double acceleratorTasks,
+            double tasks) {}
+
+    private record WrongRow(String sizes, int overfilled, int tasks) {}
+
+    private record Report(long seed, List<Row> skewed, List<WrongRow> wrong) {}
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/GangReservation.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/GangReservation.java
@@ -30,6 +30,10 @@
         mStore = store;
     }
 
+    boolean isActive() {
+        return mJob != null;
+    }
+
     boolean isFor(JobEntry job) {
         return mJob == job;
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobQueue.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/JobQueue.java
@@ -9,6 +9,7 @@
 import java.util.PriorityQueue;
 import java.util.TreeSet;
 import org.hyssoprouter.lib.TrafficClass;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Jobs with tasks that wait for a worker, the more pressing class first. Within a class customers
@@ -61,18 +62,33 @@
         return ready;
     }
 
-    /** Returns the first jobs in their order. */
-    List<JobEntry> first(int limit) {
-        List<JobEntry> jobs = new ArrayList<>();
-        for (Lane lane : mLanes.values()) {
-            for (JobEntry job : lane.mJobs) {
-                if (jobs.size() >= limit) {
-                    return jobs;
-                }
-                jobs.add(job);
+    /**
+     * Returns the job that comes after another in the order, or the first one.
+     *
+     * @param previous job that may have left the queue since, or null
+     */
+    @Nullable JobEntry next(@Nullable JobEntry previous) {
+        for (Map.Entry<TrafficClass, Lane> entry : mLanes.entrySet()) {
+            int order = compareClass(previous, entry.getKey());
+            if (order > 0) {
+                continue;
+            }
+            TreeSet<JobEntry> jobs = entry.getValue().mJobs;
+            JobEntry next = null;
+            if (previous != null && order == 0) {
+                next = jobs.higher(previous);
+            } else if (!jobs.isEmpty()) {
+                next = jobs.first();
+            }
+            if (next != null) {
+                return next;
             }
         }
-        return jobs;
+        return null;
+    }
+
+    private static int compareClass(@Nullable JobEntry job, TrafficClass trafficClass) {
+        return job == null ? -1 : job.mSpec.trafficClass().compareTo(trafficClass);
     }
 
     private Lane laneOf(JobEntry job) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/PlacementPass.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/PlacementPass.java
@@ -9,8 +9,8 @@
 
 /** One pass over the waiting jobs, each of which gets what room there is for it. */
 final class PlacementPass {
-    private static final int MAX_TRIED = 64;
-    private static final int MAX_SEEN = 1_024;
+    private static final int MAX_BLOCKED = 64;
+    private static final int MAX_SKIPPED = 1_024;
 
     private final Fleet mFleet;
     private final Placer mPlacer;
@@ -38,34 +38,39 @@
     }
 
     /**
-     * Places waiting tasks.
+     * Places waiting tasks. A pass ends after a number of jobs that found no room, so that its cost
+     * is bounded however many wait.
      *
      * @return number of tasks placed
      */
     int run(JobQueue queue, long nowMillis, int limit, QuotaView quotas) {
         mReservation.refresh();
-        List<JobEntry> jobs = queue.first(MAX_SEEN);
         List<Room> tooLarge = new ArrayList<>();
         int placed = 0;
-        int tried = 0;
-        for (JobEntry job : jobs) {
-            if (placed >= limit || tried >= MAX_TRIED) {
-                break;
-            }
+        int blocked = 0;
+        int skipped = 0;
+        JobEntry job = queue.next(null);
+        while (job != null && placed < limit && blocked < MAX_BLOCKED && skipped < MAX_SKIPPED) {
             if (isHopeless(job, tooLarge)) {
+                skipped++;
+                job = queue.next(job);
                 continue;
             }
-            tried++;
             placed += place(job, limit - placed, quotas, seesReserved(job));
-            if (job.mWaiting.isEmpty() || placed >= limit) {
-                continue;
-            }
-            if (job.mWaitsForRoom && job.mSpec.kind() != WorkKind.GANG) {
-                tooLarge.add(mPlacer.sizeOf(job));
+            if (!job.mWaiting.isEmpty() && placed < limit) {
+                blocked++;
+                noteBlocked(job, tooLarge, nowMillis);
             }
-            mBlocked.accept(job, nowMillis);
+            job = queue.next(job);
         }
-        return placed + backfill(jobs, nowMillis, limit - placed, quotas);
+        return placed + backfill(queue, nowMillis, limit - placed, quotas);
+    }
+
+    private void noteBlocked(JobEntry job, List<Room> tooLarge, long nowMillis) {
+        if (job.mWaitsForRoom && job.mSpec.kind() != WorkKind.GANG) {
+            tooLarge.add(mPlacer.sizeOf(job));
+        }
+        mBlocked.accept(job, nowMillis);
     }
 
     /** Skips a job that needs at least as much as one that found no room in this pass. */
@@ -100,18 +105,17 @@
     }
 
     /** Lets short work run on reserved workers until the gang can start. */
-    private int backfill(List<JobEntry> jobs, long nowMillis, int limit, QuotaView quotas) {
+    private int backfill(JobQueue queue, long nowMillis, int limit, QuotaView quotas) {
+        if (!mReservation.isActive()) {
+            return 0;
+        }
         int placed = 0;
-        int tried = 0;
-        for (JobEntry job : jobs) {
-            if (placed >= limit || tried >= MAX_TRIED) {
-                break;
-            }
-            if (job.mWaiting.isEmpty() || !mReservation.admits(job, nowMillis)) {
-                continue;
+        JobEntry job = queue.next(null);
+        for (int seen = 0; job != null && placed < limit && seen < MAX_BLOCKED; seen++) {
+            if (mReservation.admits(job, nowMillis)) {
+                placed += place(job, limit - placed, quotas, true);
             }
-            tried++;
-            placed += place(job, limit - placed, quotas, true);
+            job = queue.next(job);
         }
         return placed;
     }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/placement/PolicyTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/placement/PolicyTest.java
@@ -132,6 +132,15 @@
         assertTrue(mDriver.view("j").reason().contains("failed 3 times"));
     }
 
+    @Test
+    void onePassPlacesManySmallJobs() {
+        for (int i = 0; i < 120; i++) {
+            mDriver.submit("j" + i, WorkKind.BATCH, TrafficClass.NORMAL, 1, 100);
+        }
+        mDriver.place();
+        assertEquals(120, mDriver.mRunning.size());
+    }
+
     @Test
     void customersTakeTurns() {
         mDriver.submit("fill", WorkKind.BATCH, TrafficClass.NORMAL, 3, 4_000);
