Name the daemons of a rollout in the command line's table

Cause: a trial against two real daemons showed counts where operators need names. Change: lists of names are written out; of longer records only their number is shown. HyssopTest: 6 passed.

--- a/org.hyssoprouter.pgm/src/main/java/org/hyssoprouter/pgm/OutputWriter.java
+++ b/org.hyssoprouter.pgm/src/main/java/org/hyssoprouter/pgm/OutputWriter.java
@@ -49,12 +49,24 @@
             return "-";
         }
         if (value.isArray()) {
-            return Integer.toString(value.size());
+            return list(value);
         }
         String text = value.isValueNode() ? value.asText() : value.toString();
         return text.isEmpty() ? "-" : text.replaceAll("\\s+", " ");
     }
 
+    // Names are shown one by one; of longer records only their number.
+    private static String list(JsonNode values) {
+        List<String> names = new ArrayList<>();
+        for (JsonNode value : values) {
+            if (!value.isValueNode()) {
+                return Integer.toString(values.size());
+            }
+            names.add(value.asText());
+        }
+        return names.isEmpty() ? "-" : String.join(",", names);
+    }
+
     private static String aligned(List<List<String>> lines, int columns) {
         int[] widths = new int[columns];
         for (List<String> line : lines) {
--- a/org.hyssoprouter.pgm/src/test/java/org/hyssoprouter/pgm/HyssopTest.java
+++ b/org.hyssoprouter.pgm/src/test/java/org/hyssoprouter/pgm/HyssopTest.java
@@ -44,6 +44,15 @@
         assertEquals("Bearer not-a-secret", request.getHeaders().get("Authorization"));
     }
 
+    @Test
+    void namesTheDaemonsThatHaveNotConfirmed() {
+        answer(200, "{\"version\":8,\"inForceOn\":[\"e1\",\"e2\"],\"pendingOn\":[\"e3\"]}");
+        assertEquals(ExitCode.OK, run("config", "status"));
+        String text = mOut.toString(StandardCharsets.UTF_8);
+        assertTrue(text.contains("e1,e2"), text);
+        assertTrue(text.contains("e3"), text);
+    }
+
     @Test
     void submitsAYamlFileAsJson(@TempDir Path folder) throws IOException, InterruptedException {
         answer(201, "{\"state\":\"PENDING\"}");
