Tell the others of a shard's new owner at once, and log numbered events

After a takeover or handover the other daemons sent requests by the row they had read up to a second before. The new owner now calls them once it has opened the shard, and they read the table at once; a lost call costs no more than the poll.

The first run failed in ownersMayActThroughAnOutageOfTheTable: two test daemons had the same incarnation, and the news was taken for an offer. An offer must name the daemon too now. The handover test counts the calls that carry state, since the news are calls of the same type, and the outage test first waits until the daemons know of each other.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -25,6 +25,8 @@
     SHARD_LOST(2002, Level.INFO, "no longer owns shard", "shard", "epoch", "reason"),
     /** Recovery of a shard failed and is tried again. */
     RECOVERY_FAILED(2003, Level.WARNING, "recovery failed", "shard", "epoch", "reason"),
+    /** A shard's state is recovered and it runs here. */
+    SHARD_OPENED(2004, Level.INFO, "shard open", "shard", "epoch", "events"),
     /** A version of the configuration came into force here. */
     CONFIG_APPLIED(3001, Level.INFO, "configuration in force", "version", "author"),
     /** The configuration's row cannot be read. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/CellView.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/CellView.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.internal.ownership.CellKeys;
 import org.hyssoprouter.internal.ownership.DaemonRow;
 import org.hyssoprouter.internal.ownership.ShardRow;
@@ -16,7 +18,7 @@
 
 /** The rows of the cell as one read found them; immutable. */
 final class CellView {
-    private static final System.Logger LOG = System.getLogger(CellView.class.getName());
+    private static final EventLogger LOG = EventLogger.of(CellView.class);
 
     private final Map<String, ShardRow> mShards = new TreeMap<>();
     private final Map<String, DaemonRow> mDaemons = new TreeMap<>();
@@ -44,7 +46,7 @@
                 mConfig = row;
             }
         } catch (IOException e) {
-            LOG.log(System.Logger.Level.ERROR, "cannot decode row " + row.key(), e);
+            LOG.log(LogEvent.ROW_UNREADABLE, e, row.key(), e);
         }
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OwnershipService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/OwnershipService.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.journal.CommitLane;
 import org.hyssoprouter.internal.journal.EventList;
@@ -37,7 +39,7 @@
  * @since 0.1
  */
 public final class OwnershipService implements Service, ShardDirectory {
-    private static final System.Logger LOG = System.getLogger(OwnershipService.class.getName());
+    private static final EventLogger LOG = EventLogger.of(OwnershipService.class);
 
     private final OwnershipSettings mSettings;
     private final DaemonRow mSelf;
@@ -63,6 +65,7 @@
     private volatile CellView mView = CellView.of(List.of());
     private volatile List<DaemonRow> mLive = List.of();
     private volatile boolean mStopping;
+    private boolean mFencedReported;
 
     /**
      * Creates the service.
@@ -127,10 +130,11 @@
         mWriterThread = threads.writer(mWriter);
         mCommits = new CommitLane(mWriter, clock);
         Recovery recovery = new Recovery(table, objects);
+        ShardNews news = new ShardNews(self.name(), peers, () -> mLive);
         mKeeper =
                 new ShardKeeper(
-                        settings, self, mWriter, mCommits, recovery, factory, mLiveness, clock,
-                        mPoll, mWork);
+                        settings, self, mWriter, mCommits, recovery, factory, mLiveness, news,
+                        clock, mPoll, mWork);
         mSnapshots =
                 new Snapshots(
                         new SnapshotStore(recovery, objects),
@@ -215,15 +219,21 @@
                 .thenComposeAsync(view -> handover.run(view.shards(), candidates(false)), mPoll);
     }
 
-    /** Answers a peer's call of type {@code HANDOVER}. */
+    /** Answers a peer's call of type {@code HANDOVER}: an offer to this daemon, or news. */
     public CompletableFuture<byte[]> onHandover(byte[] payload) {
         try {
             HandoverOffer offer = MessageCodec.decode(payload, HandoverOffer.class);
-            boolean welcome = !mStopping && offer.row().incarnation().equals(mSelf.incarnation());
+            boolean welcome = !mStopping && mKeeper.isNamedIn(offer.row());
             if (welcome) {
                 Option<RecoveredShard> history = historyOf(offer);
                 mPoll.execute(() -> mKeeper.adopt(offer.row(), offer.rowVersion(), history));
             }
+            boolean isNews =
+                    mView.shard(offer.row().shard())
+                            .forAll(row -> row.epoch() < offer.row().epoch());
+            if (!welcome && isNews) {
+                mPoll.execute(this::poll);
+            }
             byte[] answer = MessageCodec.encode(new HandoverOffer.Answer(welcome));
             return CompletableFuture.completedFuture(answer);
         } catch (IOException e) {
@@ -274,7 +284,7 @@
 
     private void poll() {
         if (mWriter.isFenced()) {
-            LOG.log(System.Logger.Level.ERROR, "a newer daemon uses the name {0}", mSelf.name());
+            reportFenced();
             return;
         }
         long startMillis = mClock.millis();
@@ -309,6 +319,13 @@
                 .toList();
     }
 
+    private void reportFenced() {
+        if (!mFencedReported) {
+            LOG.log(LogEvent.DAEMON_FENCED, mSelf.name());
+            mFencedReported = true;
+        }
+    }
+
     private List<RivalSet.Rival> rivals() {
         return mLive.stream()
                 .filter(daemon -> !daemon.name().equals(mSelf.name()))
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/ShardKeeper.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/ShardKeeper.java
@@ -9,6 +9,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.journal.CommitLane;
 import org.hyssoprouter.internal.journal.Committed;
@@ -31,7 +33,7 @@
  * {@link #owned} and {@link #holdings} are for the poll thread.
  */
 final class ShardKeeper {
-    private static final System.Logger LOG = System.getLogger(ShardKeeper.class.getName());
+    private static final EventLogger LOG = EventLogger.of(ShardKeeper.class);
 
     private final OwnershipSettings mSettings;
     private final DaemonRow mSelf;
@@ -40,6 +42,7 @@
     private final Recovery mRecovery;
     private final OwnedShard.Factory mFactory;
     private final LivenessView mLiveness;
+    private final ShardNews mNews;
     private final MonotonicClock mClock;
     private final Tasks mPoll;
     private final Tasks mWork;
@@ -54,6 +57,7 @@
             Recovery recovery,
             OwnedShard.Factory factory,
             LivenessView liveness,
+            ShardNews news,
             MonotonicClock clock,
             Tasks poll,
             Tasks work) {
@@ -64,6 +68,7 @@
         mRecovery = recovery;
         mFactory = factory;
         mLiveness = liveness;
+        mNews = news;
         mClock = clock;
         mPoll = poll;
         mWork = work;
@@ -90,16 +95,18 @@
     /** Adopts what another daemon has handed to this one. */
     void adoptGiven(CellView view) {
         for (ShardRow row : view.shards()) {
-            boolean isOurs =
-                    row.owner().equals(mSelf.name())
-                            && row.incarnation().equals(mSelf.incarnation());
-            if (isOurs && isIdle(row.shard())) {
+            if (isNamedIn(row) && isIdle(row.shard())) {
                 long version = view.version(CellKeys.shard(row.shard()));
                 adopt(row, version, Option.none());
             }
         }
     }
 
+    /** Returns whether a shard's row names this process as its owner. */
+    boolean isNamedIn(ShardRow row) {
+        return row.owner().equals(mSelf.name()) && row.incarnation().equals(mSelf.incarnation());
+    }
+
     /** Returns whether this daemon neither holds nor claims a shard. */
     boolean isIdle(String shard) {
         return !mHoldings.containsKey(shard) && !mClaims.contains(shard);
@@ -207,7 +214,7 @@
                         new Fate(row, confirmation));
         ShardHolding holding = new ShardHolding(row, journal, confirmation);
         mHoldings.put(row.shard(), holding);
-        LOG.log(System.Logger.Level.INFO, "owns shard {0} epoch {1}", row.shard(), row.epoch());
+        LOG.log(LogEvent.SHARD_OWNED, row.shard(), row.epoch());
         journal.open();
         history.peek(known -> open(holding, known))
                 .onEmpty(() -> mWork.execute(() -> recover(holding)));
@@ -221,6 +228,11 @@
         Either<TableError, RecoveredShard> history =
                 mRecovery.read(row.shard(), row.snapshot(), row.snapshotSequence());
         if (history.isLeft()) {
+            LOG.log(
+                    LogEvent.RECOVERY_FAILED,
+                    row.shard(),
+                    row.epoch(),
+                    history.getLeft().message());
             mWork.later(() -> recover(holding), mSettings.pollMillis());
             return;
         }
@@ -236,10 +248,11 @@
         shard.start();
         holding.opened(shard);
         LOG.log(
-                System.Logger.Level.INFO,
-                "opened shard {0} with {1} events",
+                LogEvent.SHARD_OPENED,
                 holding.row().shard(),
+                holding.row().epoch(),
                 history.events().size());
+        mNews.tell(holding.row(), holding.journal().rowVersion());
     }
 
     private void lost(String shard, long epoch) {
@@ -253,12 +266,7 @@
     void drop(ShardHolding holding, String reason) {
         mHoldings.remove(holding.row().shard(), holding);
         holding.end();
-        LOG.log(
-                System.Logger.Level.INFO,
-                "closed shard {0} epoch {1}: {2}",
-                holding.row().shard(),
-                holding.row().epoch(),
-                reason);
+        LOG.log(LogEvent.SHARD_LOST, holding.row().shard(), holding.row().epoch(), reason);
     }
 
     private final class Fate implements Journal.Listener {
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/ShardNews.java
@@ -0,0 +1,44 @@
+package org.hyssoprouter.daemon.ownership;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.hyssoprouter.internal.ownership.DaemonRow;
+import org.hyssoprouter.internal.ownership.ShardRow;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.transport.PeerCallType;
+import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.util.MessageCodec;
+
+/**
+ * Tells the other daemons that a shard is open at a new owner, so that they read the table at once
+ * instead of at their next poll. A call that is lost costs no more than that poll.
+ */
+final class ShardNews {
+    private static final long CALL_MILLIS = 1000;
+
+    private final String mOwnName;
+    private final PeerTransport mPeers;
+    private final Supplier<List<DaemonRow>> mLive;
+
+    ShardNews(String ownName, PeerTransport peers, Supplier<List<DaemonRow>> live) {
+        mOwnName = ownName;
+        mPeers = peers;
+        mLive = live;
+    }
+
+    void tell(ShardRow row, long version) {
+        byte[] news = MessageCodec.encode(new HandoverOffer(row, version, 0, new byte[0]));
+        for (DaemonRow daemon : mLive.get()) {
+            if (!daemon.name().equals(mOwnName)) {
+                CompletableFuture<?> unused =
+                        mPeers.call(
+                                daemon.peerAddress(),
+                                PeerCallType.HANDOVER.number(),
+                                TrafficClass.URGENT,
+                                news,
+                                CALL_MILLIS);
+            }
+        }
+    }
+}
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/TaskThread.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/TaskThread.java
@@ -5,14 +5,18 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 
 /** One thread that runs tasks one after the other and logs those that fail. */
 final class TaskThread implements Tasks {
-    private static final System.Logger LOG = System.getLogger(TaskThread.class.getName());
+    private static final EventLogger LOG = EventLogger.of(TaskThread.class);
 
+    private final String mName;
     private final ScheduledExecutorService mExecutor;
 
     TaskThread(String name) {
+        mName = name;
         mExecutor =
                 Executors.newSingleThreadScheduledExecutor(
                         task -> {
@@ -33,7 +37,7 @@
             ScheduledFuture<?> unused =
                     mExecutor.schedule(guard(task), delayMillis, TimeUnit.MILLISECONDS);
         } catch (RejectedExecutionException e) {
-            LOG.log(System.Logger.Level.DEBUG, "task dropped after the stop", e);
+            // It was told to stop, which is why the task is dropped.
         }
     }
 
@@ -61,12 +65,12 @@
         }
     }
 
-    private static Runnable guard(Runnable task) {
+    private Runnable guard(Runnable task) {
         return () -> {
             try {
                 task.run();
             } catch (RuntimeException e) {
-                LOG.log(System.Logger.Level.ERROR, "task failed", e);
+                LOG.log(LogEvent.TASK_FAILED, e, mName, e);
             }
         };
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipServiceTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/OwnershipServiceTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -23,6 +24,7 @@
 import org.hyssoprouter.transport.FakeTable;
 import org.hyssoprouter.transport.PeerCallType;
 import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.util.MessageCodec;
 import org.hyssoprouter.util.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -31,7 +33,7 @@
     private static final OwnershipSettings SETTINGS =
             new OwnershipSettings(50, 300, 150, 80, 5, new GroupSettings(5, 50, 10, 5000));
 
-    private final AtomicInteger mOffers = new AtomicInteger();
+    private final AtomicInteger mStatesSent = new AtomicInteger();
     private final FakeTable mTable = new FakeTable();
     private final Map<String, OwnershipService> mDaemons = new ConcurrentHashMap<>();
     private final List<OwnershipService> mAll = new ArrayList<>();
@@ -102,7 +104,7 @@
         assertTrue(first.handOver().join());
         assertEquals(drains(0, 3), awaitShard(second).snapshotEvents());
         assertTrue(first.owned("d1").isEmpty());
-        assertEquals(1, mOffers.get());
+        assertEquals(1, mStatesSent.get());
     }
 
     @Test
@@ -122,6 +124,8 @@
     void ownersMayActThroughAnOutageOfTheTable() {
         OwnershipService first = start("a", "1");
         OwnershipService second = start("b", "1");
+        // One that knew of no rival could not go on after a pause of its own.
+        await().until(() -> first.liveDaemons().size() == 2 && second.liveDaemons().size() == 2);
         await().until(() -> first.owned("d1").isDefined() || second.owned("d1").isDefined());
         OwnedShard shard = first.owned("d1").orElse(second.owned("d1")).get();
         mTable.setOut(true);
@@ -134,6 +138,15 @@
         append(shard, drains(0, 1));
     }
 
+    private void countState(byte[] payload) {
+        try {
+            HandoverOffer offer = MessageCodec.decode(payload, HandoverOffer.class);
+            mStatesSent.addAndGet(offer.events().length > 0 ? 1 : 0);
+        } catch (IOException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     private final class Peers implements PeerTransport {
         @Override
         public CompletableFuture<Either<CallError, byte[]>> call(
@@ -148,7 +161,9 @@
                         Either.left(CallError.notRun(CallError.Kind.UNREACHABLE, address)));
             }
             boolean isOffer = type == PeerCallType.HANDOVER.number();
-            mOffers.addAndGet(isOffer ? 1 : 0);
+            if (isOffer) {
+                countState(payload);
+            }
             return (isOffer ? peer.onHandover(payload) : peer.onTableStatus(payload))
                     .thenApply(Either::right);
         }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/SimulatedTable.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/ownership/SimulatedTable.java
@@ -38,7 +38,9 @@
     }
 
     private void pause() {
-        int boundMillis = isSlow.getAsBoolean() ? 1500 : 20;
+        // Mostly prompt even when slow: only prompt reads let a daemon count another dead.
+        boolean isLong = isSlow.getAsBoolean() && random.nextInt(4) == 0;
+        int boundMillis = isLong ? 4000 : 100;
         time.runUntil(time.millis() + random.nextInt(boundMillis));
         while (time.millis() < frozenUntilMillis.getAsLong()) {
             time.runUntil(frozenUntilMillis.getAsLong());
