--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/placement/ShardScheduler.java
@@ -60,11 +60,11 @@
     private volatile @Nullable ScheduledFuture<?> mTick;
 
     /**
-     * Creates the scheduler of a shard in the daemon's own region.
+     * Creates the scheduler of a shard in the daemon's own region, with the standard times.
      *
      * @param context ownership
      * @param history events since the shard's beginning, in order
-     * @param workers port to the workers; a call must end within one second
+     * @param workers port to the workers; a call must end within the call time of the timing
      * @param hosts newest host list
      * @param config configuration in force
      * @param clock wall clock, for what operators see
@@ -84,7 +84,7 @@
     }
 
     /**
-     * Creates the scheduler of a shard.
+     * Creates the scheduler of a shard with the standard times.
      *
      * @param settledBySilence whether silence of a worker proves that its lease has lapsed; false
      *     in another region, from which the worker may be cut off while its former owner is not
@@ -99,12 +99,42 @@
             MonotonicClock monotonic,
             ScheduledExecutorService timer,
             boolean settledBySilence) {
+        this(
+                context,
+                history,
+                workers,
+                hosts,
+                config,
+                clock,
+                monotonic,
+                timer,
+                settledBySilence,
+                LeaseTiming.standard());
+    }
+
+    /**
+     * Creates the scheduler of a shard.
+     *
+     * @param settledBySilence whether silence of a worker proves that its lease has lapsed; false
+     *     in another region, from which the worker may be cut off while its former owner is not
+     * @param timing times of the leases
+     */
+    public ShardScheduler(
+            ShardContext context,
+            List<ShardEvent> history,
+            WorkerClient workers,
+            HostView hosts,
+            ConfigView config,
+            Clock clock,
+            MonotonicClock monotonic,
+            ScheduledExecutorService timer,
+            boolean settledBySilence,
+            LeaseTiming timing) {
         mContext = context;
         mHosts = hosts;
         mConfig = config;
         mTimer = timer;
         mBook = new JobBook(context.shard());
-        LeaseTiming timing = LeaseTiming.standard();
         long now = monotonic.millis();
         mLinks = new WorkerLinks(mBook, timing, settledBySilence, hosts.revision(), now);
         mCalls =
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/LeaseTiming.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/LeaseTiming.java
@@ -22,17 +22,34 @@
         long deliveryMillis,
         long settleMillis,
         long notAfterMillis) {
-    private static final long CONFIRM_MILLIS = 2_000;
-    private static final long CALL_MILLIS = 1_000;
     private static final long MARGIN_MILLIS = 500;
 
-    /** Returns the times that the daemon uses. */
+    /** Returns the times that the daemon uses when its settings name none. */
     public static LeaseTiming standard() {
-        long lease = 10_000;
-        long delivery = 1_000;
+        return of(10_000, 2_000, 1_000, 1_000);
+    }
+
+    /**
+     * Returns the times that follow from a few.
+     *
+     * @param leaseMillis time for which a renewal lets tasks run
+     * @param confirmMillis time for which an owner may act after a confirmation of its ownership
+     * @param callMillis longest time of a call to a worker
+     * @param notAfterMillis time for which a start or a renewal is valid at its worker
+     */
+    public static LeaseTiming of(
+            long leaseMillis, long confirmMillis, long callMillis, long notAfterMillis) {
         // The former owner sends its last renewal while it is still confirmed; a call takes its
         // time and may be delivered late; then the lease runs.
-        long settle = CONFIRM_MILLIS + CALL_MILLIS + delivery + lease + MARGIN_MILLIS;
-        return new LeaseTiming(lease, 1_000, 4_000, 2_000, CALL_MILLIS, delivery, settle, 1_000);
+        long settle = confirmMillis + callMillis + notAfterMillis + leaseMillis + MARGIN_MILLIS;
+        return new LeaseTiming(
+                leaseMillis,
+                leaseMillis / 10,
+                leaseMillis * 2 / 5,
+                leaseMillis / 5,
+                callMillis,
+                notAfterMillis,
+                settle,
+                notAfterMillis);
     }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/WorkerLease.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/placement/WorkerLease.java
@@ -68,7 +68,8 @@
         mAnswered = true;
         mLastAnswerMillis = nowMillis;
         mSilentSinceMillis = ANSWERED;
-        mLapseMillis = nowMillis + mGrantMillis;
+        // A worker may keep an earlier, longer grant.
+        mLapseMillis = Math.max(mLapseMillis, nowMillis + mGrantMillis);
     }
 
     /** Notes that a renewal was certainly not delivered. */
