End planned stops with status 0, log them to the end, and vouch only while fresh

Cause: a trial with two daemons showed exit status 143 after SIGTERM, and no log line of the stop: the JVM ends with the status of its signal, and its log manager removes all handlers in parallel to the stop. A review of the configuration showed that two daemons which were paused across a change and wake in an outage of the table took each other's answer for a check. Change: the hook halts with 0 once the stop is done, or with 1 after drainSeconds; the log manager keeps its handlers; Daemon and configuration log numbered events, and the event that nothing logged is gone; a peer's answer counts as a check only while that peer's own check is fresh.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
@@ -12,6 +12,8 @@
 import org.hyssoprouter.daemon.cell.PeerHandlers;
 import org.hyssoprouter.daemon.configuration.ConfigurationService;
 import org.hyssoprouter.daemon.http.ApiServer;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.daemon.ownership.OwnershipService;
 import org.hyssoprouter.daemon.peer.PeerLink;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
@@ -25,7 +27,7 @@
  */
 @Singleton
 public final class Daemon implements Service {
-    private static final System.Logger LOG = System.getLogger(Daemon.class.getName());
+    private static final EventLogger LOG = EventLogger.of(Daemon.class);
 
     private static final long ANSWER_POLL_MILLIS = 20;
 
@@ -78,11 +80,14 @@
         mConfiguration.start();
         mLoads.start();
         mApi.start();
+        LOG.log(LogEvent.DAEMON_STARTED, mSettings.name(), mSettings.http(), mSettings.peer());
     }
 
     /** Stops as planned: no new work, shards handed over, requests in flight finished. */
     @Override
     public void stop() {
+        long startNanos = System.nanoTime();
+        LOG.log(LogEvent.STOP_BEGAN, mSettings.name());
         mReadiness.drain();
         pause(TimeUnit.SECONDS.toMillis(mSettings.timing().balancerSeconds()));
         mReadiness.close();
@@ -95,6 +100,8 @@
         mPeerLink.stop();
         mCaller.stop();
         mTimer.shutdown();
+        long millis = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        LOG.log(LogEvent.STOP_ENDED, mSettings.name(), millis);
     }
 
     /** Waits until every call that has arrived is answered, within the bound of a planned stop. */
@@ -118,7 +125,7 @@
         try {
             mOwnership.handOver().get(mSettings.timing().drainSeconds(), TimeUnit.SECONDS);
         } catch (ExecutionException | TimeoutException e) {
-            LOG.log(System.Logger.Level.WARNING, "shards were not all handed over", e);
+            LOG.log(LogEvent.HANDOVER_INCOMPLETE, e, e.getClass().getSimpleName());
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Hyssopd.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Hyssopd.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.nio.file.Path;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
 import org.apache.commons.cli.Option;
@@ -56,10 +57,23 @@
     private static void run(DaemonSettings settings) {
         LogSetup.install();
         Daemon daemon = DaggerDaemonComponent.factory().create(settings).daemon();
-        Runtime.getRuntime().addShutdownHook(new Thread(daemon::stop, "stop"));
+        long boundMillis = TimeUnit.SECONDS.toMillis(settings.timing().drainSeconds());
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon, boundMillis), "stop"));
         daemon.start();
     }
 
+    // Without the halt the process would end with the status of its signal.
+    private static void stop(Daemon daemon, long boundMillis) {
+        Thread stopping = new Thread(daemon::stop, "stopping");
+        stopping.start();
+        try {
+            stopping.join(boundMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(stopping.isAlive() ? EXIT_FAULT : 0);
+    }
+
     private static Options options() {
         Option config =
                 Option.builder()
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigMessages.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigMessages.java
@@ -17,7 +17,9 @@
      *
      * @param name name of the daemon
      * @param version version in force there
+     * @param fresh whether that daemon knows that there was nothing newer a moment ago; one that
+     *     was paused or cut off must not vouch for others
      * @param document that version in JSON when the asking daemon has a lower one, else empty
      */
-    record VersionReply(String name, long version, byte[] document) {}
+    record VersionReply(String name, long version, boolean fresh, byte[] document) {}
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigRows.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigRows.java
@@ -4,6 +4,8 @@
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.util.Locale;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.internal.config.ConfigDocument;
 import org.hyssoprouter.util.MessageCodec;
 
@@ -11,7 +13,7 @@
 final class ConfigRows {
     static final String HISTORY_PREFIX = "config/history/";
 
-    private static final System.Logger LOG = System.getLogger(ConfigRows.class.getName());
+    private static final EventLogger LOG = EventLogger.of(ConfigRows.class);
 
     private ConfigRows() {}
 
@@ -32,7 +34,7 @@
         try {
             return Option.of(MessageCodec.json().readValue(bytes, ConfigDocument.class));
         } catch (IOException e) {
-            LOG.log(System.Logger.Level.ERROR, "unreadable configuration, kept the former one", e);
+            LOG.log(LogEvent.CONFIG_UNREADABLE, e, e.getClass().getSimpleName());
             return Option.none();
         }
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigurationService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigurationService.java
@@ -14,6 +14,8 @@
 import org.hyssoprouter.daemon.configuration.ConfigMessages.VersionReply;
 import org.hyssoprouter.daemon.http.ConfigService;
 import org.hyssoprouter.daemon.http.ConfigStatus;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.errors.Refusal;
 import org.hyssoprouter.errors.RefusalCode;
@@ -40,6 +42,8 @@
  * @since 0.1
  */
 public final class ConfigurationService implements Service, ConfigService {
+    private static final EventLogger LOG = EventLogger.of(ConfigurationService.class);
+
     private static final long ROLLOUT_MILLIS = 10_000;
     private static final long STATUS_MILLIS = 1_000;
     private static final long COMMIT_WITHIN_MILLIS = 3_000;
@@ -182,6 +186,7 @@
         return new VersionReply(
                 mSelf.name(),
                 mHolder.version(),
+                mFreshness.current().isDefined(),
                 newer.map(ConfigRows::encode).getOrElse(() -> new byte[0]));
     }
 
@@ -262,13 +267,15 @@
         if (document.length > 0) {
             ConfigRows.decode(document).peek(this::apply);
         }
-        if (reply.get().version() <= mHolder.version()) {
+        if (reply.get().fresh() && reply.get().version() <= mHolder.version()) {
             mFreshness.checked(startedMillis);
         }
     }
 
     private void apply(ConfigDocument document) {
-        mHolder.apply(new ResolvedConfig(document));
+        if (mHolder.apply(new ResolvedConfig(document))) {
+            LOG.log(LogEvent.CONFIG_APPLIED, document.version(), document.author());
+        }
     }
 
     private CompletableFuture<Either<Refusal, ConfigStatus>> refused(Refusal refusal) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -10,7 +10,7 @@
  */
 public enum LogEvent {
     /** The daemon serves. */
-    DAEMON_STARTED(1001, Level.INFO, "daemon started", "name", "incarnation", "http", "peer"),
+    DAEMON_STARTED(1001, Level.INFO, "daemon started", "name", "http", "peer"),
     /** A planned stop began. */
     STOP_BEGAN(1002, Level.INFO, "planned stop began", "name"),
     /** A planned stop ended. */
@@ -31,8 +31,6 @@
     CONFIG_APPLIED(3001, Level.INFO, "configuration in force", "version", "author"),
     /** The configuration's row cannot be read. */
     CONFIG_UNREADABLE(3002, Level.ERROR, "unreadable configuration, kept the former", "reason"),
-    /** The daemon was paused and does not decide until it has read again. */
-    PAUSE_DETECTED(3003, Level.WARNING, "pause detected, reads before it decides", "millis"),
     /** A row or message has an unexpected form. */
     ROW_UNREADABLE(4001, Level.ERROR, "unreadable row or message", "key", "reason"),
     /** A background task failed; it runs again. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogSetup.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogSetup.java
@@ -12,10 +12,13 @@
  * @since 0.1
  */
 public final class LogSetup {
+    private static final String MANAGER_PROPERTY = "java.util.logging.manager";
+
     private LogSetup() {}
 
     /** Replaces the root logger's handlers; called once before anything is logged. */
     public static void install() {
+        System.setProperty(MANAGER_PROPERTY, LastingLogManager.class.getName());
         Logger root = Logger.getLogger("");
         for (Handler handler : root.getHandlers()) {
             root.removeHandler(handler);
