--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ApiModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ApiModule.java
@@ -10,7 +10,10 @@
 import org.hyssoprouter.daemon.http.ApiServer;
 import org.hyssoprouter.daemon.http.ApiServices;
 import org.hyssoprouter.daemon.http.RequestObserver;
+import org.hyssoprouter.daemon.metrics.ControlMeters;
 import org.hyssoprouter.daemon.metrics.RequestMeters;
+import org.hyssoprouter.daemon.ownership.TableCounters;
+import org.hyssoprouter.daemon.peer.PeerLink;
 import org.hyssoprouter.daemon.request.RequestRouter;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
 import org.hyssoprouter.internal.config.ConfigView;
@@ -25,8 +28,10 @@
 public final class ApiModule {
     @Provides
     @Singleton
-    RequestObserver observer() {
-        return new RequestMeters();
+    RequestObserver observer(PeerLink link, TableCounters table) {
+        RequestMeters meters = new RequestMeters();
+        ControlMeters.register(meters.registry(), link.counters(), table);
+        return meters;
     }
 
     @Provides
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/TransportModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/TransportModule.java
@@ -11,6 +11,7 @@
 import org.hyssoprouter.daemon.adapter.HttpObjectStore;
 import org.hyssoprouter.daemon.adapter.HttpTableService;
 import org.hyssoprouter.daemon.adapter.HttpWorkerClient;
+import org.hyssoprouter.daemon.ownership.TableCounters;
 import org.hyssoprouter.daemon.peer.PeerLink;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
 import org.hyssoprouter.internal.placement.LeaseTiming;
@@ -48,9 +49,17 @@
 
     @Provides
     @Singleton
-    TableService table(HttpCaller caller, DaemonSettings settings) {
-        return new HttpTableService(
-                caller, settings.platform().toString(), settings.timing().platformTimeoutMillis());
+    TableCounters tableCounters(HttpCaller caller, DaemonSettings settings) {
+        return new TableCounters(
+                new HttpTableService(
+                        caller,
+                        settings.platform().toString(),
+                        settings.timing().platformTimeoutMillis()));
+    }
+
+    @Provides
+    TableService table(TableCounters counters) {
+        return counters;
     }
 
     @Provides
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/LoadPoller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/LoadPoller.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.internal.ownership.ShardDirectory;
 import org.hyssoprouter.internal.ownership.ShardRow;
@@ -25,6 +27,7 @@
  * @since 0.1
  */
 public final class LoadPoller implements Service {
+    private static final EventLogger EVENTS = EventLogger.of(LoadPoller.class);
     private static final long PERIOD_MILLIS = 1_000;
     private static final long TIMEOUT_MILLIS = 1_000;
     private static final int OTHER_REGION_ROUNDS = 5;
@@ -115,8 +118,7 @@
         try {
             MessageCodec.decode(answer.get(), LoadReply.class).digests().forEach(mBoard::update);
         } catch (IOException e) {
-            System.getLogger(LoadPoller.class.getName())
-                    .log(System.Logger.Level.WARNING, "unreadable load digest", e);
+            EVENTS.log(LogEvent.ROW_UNREADABLE, "load digest", String.valueOf(e.getMessage()));
         }
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/ClusterService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/ClusterService.java
@@ -44,10 +44,10 @@
      * @param host entry of the platform's list
      * @param shard shard that it belongs to
      * @param drained whether an operator took it out of use
-     * @param trusted whether it is given work, or only trial tasks after failing too many
+     * @param usable whether it may receive new work now
      * @param used room held by tasks
      * @param tasks tasks on it
      */
     record HostStatus(
-            HostInfo host, String shard, boolean drained, boolean trusted, Room used, int tasks) {}
+            HostInfo host, String shard, boolean drained, boolean usable, Room used, int tasks) {}
 }
