Limit the link between regions and test the link under faults

Cause: two regions share a narrow link, and bulk bodies must not use up what quick calls need. Ruled out: a rate limit for each connection (a daemon has several, and they share the link); a queue of its own for each region (priorities would not hold between them). Change: one byte budget a daemon for all connections to other regions; NORMAL leaves a quarter of the burst to URGENT, BULK a half. The dialing end names its region in its first frame, so answers are limited too. Bytes to other regions are counted by type of call. Connections are dialed outside of the map's lock. Conclusion: the link keeps own answers, truthful verdicts and quick calls under cuts and silence.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/AnsweringChannel.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/AnsweringChannel.java
@@ -9,7 +9,6 @@
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.transport.PeerTransport;
-import org.hyssoprouter.util.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
 /** The end of a connection that answers calls. */
@@ -22,8 +21,8 @@
     private @Nullable ChannelHandlerContext mContext;
     private boolean mClosed;
 
-    AnsweringChannel(PeerTransport.Handler handler, MonotonicClock clock, LinkCounters counters) {
-        super(clock, counters);
+    AnsweringChannel(PeerTransport.Handler handler, LinkParts parts) {
+        super(parts);
         mHandler = handler;
     }
 
@@ -38,6 +37,7 @@
         switch (frame.kind()) {
             case CALL -> called(frame);
             case CANCEL -> reassembly().drop(frame.id());
+            case HELLO -> peerRegion(new String(frame.body(), StandardCharsets.UTF_8));
             default -> throw new CorruptedFrameException("a caller never sends " + frame.kind());
         }
     }
@@ -90,7 +90,8 @@
         }
         TrafficClass trafficClass = call.trafficClass();
         boolean tooLarge = body.length > Reassembly.MAX_BODY_BYTES;
-        if (tooLarge || !queue().offer(new Outgoing(kind, call.id(), 0, trafficClass, body))) {
+        if (tooLarge
+                || !queue().offer(new Outgoing(kind, call.id(), call.type(), trafficClass, body))) {
             sendControl(Frame.control(Frame.Kind.FAILED, call.id()));
             return;
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/CallingChannel.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/CallingChannel.java
@@ -8,9 +8,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssoprouter.errors.CallError;
-import org.hyssoprouter.util.MonotonicClock;
 import org.jspecify.annotations.Nullable;
 
 /** The end of a connection that makes the calls. */
@@ -24,13 +24,19 @@
     private final EventLoop mLoop;
     private final Map<Long, OpenCall> mOpenCalls = new HashMap<>();
     private final AtomicInteger mOpenCount = new AtomicInteger();
+    private final AtomicBoolean mDialing = new AtomicBoolean();
     private long mUsedMillis;
     private volatile boolean mClosed;
 
-    CallingChannel(EventLoop loop, MonotonicClock clock, LinkCounters counters) {
-        super(clock, counters);
+    CallingChannel(EventLoop loop, LinkParts parts) {
+        super(parts);
         mLoop = loop;
-        mUsedMillis = clock.millis();
+        mUsedMillis = parts.clock().millis();
+    }
+
+    /** Returns true the first time, for the one thread that makes the connection. */
+    boolean startDialing() {
+        return mDialing.compareAndSet(false, true);
     }
 
     boolean isClosed() {
@@ -52,6 +58,13 @@
         mLoop.execute(() -> open(call, submittedMillis, timeoutMillis));
     }
 
+    /** Tells the far end the own region; called before the connection is made. */
+    void greet(LinkRegions regions, String address) {
+        peerRegion(regions.regionOf().apply(address));
+        byte[] region = regions.region().getBytes(StandardCharsets.UTF_8);
+        queue().offerControl(Frame.hello(region));
+    }
+
     /** Ends all calls after the connection could not be made. */
     void connectFailed(@Nullable Throwable cause) {
         failAll(CallError.Kind.UNREACHABLE, "no connection to the peer: " + cause);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/Frame.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/Frame.java
@@ -7,7 +7,7 @@
  *
  * @param kind kind of frame
  * @param id correlation id of the call; 0 for pings
- * @param type number of the call's type; 0 unless the frame is a call
+ * @param type number of the call's type, on its answer too; 0 for pings
  * @param trafficClass traffic class
  * @param last whether this is the last chunk of its body
  * @param body body or one chunk of it
@@ -16,8 +16,11 @@
     /** Largest body of one frame in bytes; larger bodies are cut into chunks. */
     static final int CHUNK_BYTES = 16 * 1024;
 
+    /** Most bytes that a frame needs besides its body. */
+    static final int OVERHEAD_BYTES = 64;
+
     /** Largest encoded frame in bytes. */
-    static final int MAX_ENCODED_BYTES = CHUNK_BYTES + 64;
+    static final int MAX_ENCODED_BYTES = CHUNK_BYTES + OVERHEAD_BYTES;
 
     private static final byte[] EMPTY = new byte[0];
 
@@ -36,7 +39,9 @@
         /** The handler failed; the call may have had its effect. */
         FAILED(5),
         /** The rest of a call's body will not come. */
-        CANCEL(6);
+        CANCEL(6),
+        /** Names the region of the daemon that made the connection; its first frame. */
+        HELLO(7);
 
         private final int mNumber;
 
@@ -54,4 +59,9 @@
     static Frame control(Kind kind, long id) {
         return new Frame(kind, id, 0, TrafficClass.URGENT, true, EMPTY);
     }
+
+    /** Returns the frame that names a region. */
+    static Frame hello(byte[] region) {
+        return new Frame(Kind.HELLO, 0, 0, TrafficClass.URGENT, true, region);
+    }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/FrameChannel.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/FrameChannel.java
@@ -6,6 +6,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.DecoderException;
 import io.vavr.control.Option;
+import java.util.List;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import org.hyssoprouter.util.MonotonicClock;
@@ -22,18 +23,18 @@
     /** Time without any frame after which a connection is closed, in milliseconds. */
     static final long SILENCE_MILLIS = 3000;
 
-    private final MonotonicClock mClock;
-    private final LinkCounters mCounters;
+    private final LinkParts mParts;
     private final SendQueue mQueue = new SendQueue();
     private final Reassembly mReassembly = new Reassembly();
     private @Nullable Channel mChannel;
     private @Nullable ScheduledFuture<?> mTick;
+    private @Nullable ScheduledFuture<?> mBudgetWait;
+    private boolean mOtherRegion;
     private long mHeardMillis;
 
-    FrameChannel(MonotonicClock clock, LinkCounters counters) {
+    FrameChannel(LinkParts parts) {
         super(Frame.class, false);
-        mClock = clock;
-        mCounters = counters;
+        mParts = parts;
     }
 
     /** Handles a frame that is neither a ping nor a pong. */
@@ -46,11 +47,11 @@
     abstract void onClosed();
 
     LinkCounters counters() {
-        return mCounters;
+        return mParts.counters();
     }
 
     MonotonicClock clock() {
-        return mClock;
+        return mParts.clock();
     }
 
     SendQueue queue() {
@@ -95,13 +96,59 @@
 
     private Option<Frame> nextFrame() {
         Option<Frame> control = mQueue.nextControl();
-        return control.isDefined() ? control : mQueue.peek().map(mQueue::next);
+        if (control.isDefined()) {
+            return control;
+        }
+        Option<Outgoing> message = mQueue.peek(this::maySend);
+        if (message.isEmpty()) {
+            waitForBudget();
+        }
+        return message.map(mQueue::next);
+    }
+
+    private boolean maySend(Outgoing message) {
+        Option<RegionBudget> budget = mOtherRegion ? mParts.budget() : Option.none();
+        int bytes = message.nextBytes() + Frame.OVERHEAD_BYTES;
+        if (budget.exists(b -> !b.tryTake(bytes, message.trafficClass()))) {
+            return false;
+        }
+        if (mOtherRegion) {
+            counters().sentToOtherRegion(message.type(), bytes);
+        }
+        return true;
+    }
+
+    private void waitForBudget() {
+        List<Outgoing> heads = mQueue.heads();
+        Channel channel = mChannel;
+        if (channel == null || heads.isEmpty()) {
+            return;
+        }
+        if (mBudgetWait != null) {
+            mBudgetWait.cancel(false);
+        }
+        long waitMillis = heads.stream().mapToLong(this::budgetWaitMillis).min().orElse(1);
+        mBudgetWait =
+                channel.eventLoop()
+                        .schedule(this::pump, Math.max(1, waitMillis), TimeUnit.MILLISECONDS);
+    }
+
+    private long budgetWaitMillis(Outgoing message) {
+        int bytes = message.nextBytes() + Frame.OVERHEAD_BYTES;
+        return mParts.budget()
+                .map(budget -> budget.millisUntil(bytes, message.trafficClass()))
+                .getOrElse(0L);
+    }
+
+    /** Notes the region of the far end. */
+    void peerRegion(String region) {
+        mOtherRegion = mParts.regions().exists(regions -> regions.isOther(region));
     }
 
     @Override
     public void channelActive(ChannelHandlerContext context) {
         mChannel = context.channel();
-        mHeardMillis = mClock.millis();
+        mHeardMillis = clock().millis();
         mTick =
                 context.executor()
                         .scheduleAtFixedRate(
@@ -111,7 +158,7 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, Frame frame) {
-        mHeardMillis = mClock.millis();
+        mHeardMillis = clock().millis();
         switch (frame.kind()) {
             case PING -> sendControl(Frame.control(Frame.Kind.PONG, 0));
             case PONG -> {}
@@ -135,14 +182,14 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof DecoderException) {
-            mCounters.corruptConnection();
+            counters().corruptConnection();
         }
         ChannelFuture unused = context.close();
     }
 
     private void tick() {
-        if (mClock.millis() - mHeardMillis >= SILENCE_MILLIS) {
-            mCounters.silentConnection();
+        if (clock().millis() - mHeardMillis >= SILENCE_MILLIS) {
+            counters().silentConnection();
             close();
             return;
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/LinkCounters.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/LinkCounters.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.daemon.peer;
 
+import java.util.concurrent.atomic.AtomicLongArray;
 import java.util.concurrent.atomic.LongAdder;
 
 /**
@@ -8,6 +9,9 @@
  * @since 0.1
  */
 public final class LinkCounters {
+    private static final int MAX_TYPES = 64;
+
+    private final AtomicLongArray mOtherRegionBytes = new AtomicLongArray(MAX_TYPES);
     private final LongAdder mSentBytes = new LongAdder();
     private final LongAdder mReceivedBytes = new LongAdder();
     private final LongAdder mLateAnswers = new LongAdder();
@@ -39,6 +43,19 @@
         return mCorruptConnections.sum();
     }
 
+    /**
+     * Returns the bytes sent to other regions for calls of a type and their answers.
+     *
+     * @param type number of the type
+     */
+    public long sentToOtherRegions(int type) {
+        return type >= 0 && type < MAX_TYPES ? mOtherRegionBytes.get(type) : 0;
+    }
+
+    void sentToOtherRegion(int type, int bytes) {
+        mOtherRegionBytes.addAndGet(Math.min(Math.max(0, type), MAX_TYPES - 1), bytes);
+    }
+
     void sent(int bytes) {
         mSentBytes.add(bytes);
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/Outgoing.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/Outgoing.java
@@ -25,6 +25,10 @@
         return mTrafficClass;
     }
 
+    int type() {
+        return mType;
+    }
+
     int bodyBytes() {
         return mBody.length;
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/PeerLink.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/PeerLink.java
@@ -47,8 +47,8 @@
     private static final long STOP_TIMEOUT_MILLIS = 2000;
 
     private final String mListenAddress;
-    private final MonotonicClock mClock;
     private final LinkCounters mCounters = new LinkCounters();
+    private final LinkParts mParts;
     private final AtomicLong mLastId = new AtomicLong();
     private final ConcurrentHashMap<String, CallingChannel> mCallers = new ConcurrentHashMap<>();
     private final EventLoopGroup mGroup =
@@ -66,7 +66,7 @@
      */
     public PeerLink(String listenAddress, MonotonicClock clock) {
         mListenAddress = listenAddress;
-        mClock = clock;
+        mParts = new LinkParts(clock, mCounters);
     }
 
     /** Sets who answers the calls of other daemons; called before {@link #start()}. */
@@ -74,6 +74,11 @@
         mHandler = handler;
     }
 
+    /** Limits what is sent to other regions; called before {@link #start()}. */
+    public void setRegions(LinkRegions regions) {
+        mParts.setRegions(regions);
+    }
+
     /** Returns the counts of this link. */
     public LinkCounters counters() {
         return mCounters;
@@ -158,12 +163,19 @@
             return caller;
         }
         InetSocketAddress target = PeerAddress.parse(address);
-        return mCallers.compute(
-                address, (key, known) -> known == null || known.isClosed() ? dial(target) : known);
+        mCallers.values().removeIf(CallingChannel::isClosed);
+        CallingChannel fresh =
+                mCallers.computeIfAbsent(
+                        address, unused -> new CallingChannel(mGroup.next(), mParts));
+        if (fresh.startDialing()) {
+            dial(fresh, address, target);
+        }
+        return fresh;
     }
 
-    private CallingChannel dial(InetSocketAddress target) {
-        CallingChannel caller = new CallingChannel(mGroup.next(), mClock, mCounters);
+    private void dial(CallingChannel caller, String address, InetSocketAddress target) {
+        mParts.regions()
+                .forEach(regions -> caller.loop().execute(() -> caller.greet(regions, address)));
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(caller.loop())
@@ -182,11 +194,10 @@
                                         caller.connectFailed(done.cause());
                                     }
                                 });
-        return caller;
     }
 
     private ChannelInitializer<Channel> accepting(Handler handler) {
-        return initializer(() -> new AnsweringChannel(handler, mClock, mCounters));
+        return initializer(() -> new AnsweringChannel(handler, mParts));
     }
 
     private ChannelInitializer<Channel> initializer(Supplier<FrameChannel> end) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/SendQueue.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/SendQueue.java
@@ -7,6 +7,7 @@
 import java.util.EnumMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Predicate;
 import org.hyssoprouter.lib.TrafficClass;
 
 /**
@@ -59,19 +60,32 @@
         return Option.of(mControl.poll());
     }
 
-    /** Returns the message whose chunk goes next, leaving it in place. */
-    Option<Outgoing> peek() {
+    /**
+     * Returns the message whose chunk goes next, leaving it in place.
+     *
+     * @param maySend whether the next chunk of a message may go now
+     */
+    Option<Outgoing> peek(Predicate<Outgoing> maySend) {
         boolean leastPressing = (mChunks + 1) % FAIRNESS_INTERVAL == 0;
         for (ClassQueue queue : leastPressing ? mLeastPressingFirst : mClasses.values()) {
             Outgoing message = queue.mMessages.peek();
-            if (message != null) {
+            if (message != null && maySend.test(message)) {
                 return Option.some(message);
             }
         }
         return Option.none();
     }
 
-    /** Takes the next chunk of the message that {@link #peek()} returned. */
+    /** Returns the message of each class that would go next, leaving them in place. */
+    List<Outgoing> heads() {
+        List<Outgoing> heads = new ArrayList<>();
+        for (ClassQueue queue : mClasses.values()) {
+            Option.of(queue.mMessages.peek()).forEach(heads::add);
+        }
+        return heads;
+    }
+
+    /** Takes the next chunk of the message that {@link #peek(Predicate)} returned. */
     Frame next(Outgoing message) {
         ClassQueue queue = queueOf(message);
         queue.mMessages.remove();
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
@@ -1,10 +1,22 @@
 package org.hyssoprouter.daemon.peer;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.lib.TrafficClass;
@@ -17,6 +29,7 @@
 class PeerLinkTest {
     private static final int TYPE = 1;
     private static final long LONG_MILLIS = 20_000;
+    private static final int LARGE_BYTES = 3_000_001;
 
     private final PeerLink mServer = new PeerLink("127.0.0.1:0", MonotonicClock.system());
     private final PeerLink mClient = new PeerLink("127.0.0.1:0", MonotonicClock.system());
@@ -30,13 +43,57 @@
     @Test
     void answersSmallAndLargeBodies() throws Exception {
         serve((type, trafficClass, payload) -> CompletableFuture.completedFuture(payload));
-        byte[] large = new byte[3_000_001];
+        byte[] large = new byte[LARGE_BYTES];
         large[large.length - 1] = 7;
         assertArrayEquals(large, get(call(large)).get());
         assertArrayEquals(new byte[] {1}, get(call(new byte[] {1})).get());
         assertArrayEquals(new byte[0], get(call(new byte[0])).get());
     }
 
+    @Test
+    void eachCallGetsItsOwnAnswerWhenAnswersAreOutOfOrder() throws Exception {
+        Random random = new Random(41);
+        List<Runnable> answers = Collections.synchronizedList(new ArrayList<>());
+        serve(
+                (type, trafficClass, payload) -> {
+                    CompletableFuture<byte[]> answer = new CompletableFuture<>();
+                    answers.add(() -> answer.complete(payload));
+                    return answer;
+                });
+        List<byte[]> bodies = new ArrayList<>();
+        List<CompletableFuture<Either<CallError, byte[]>>> results = new ArrayList<>();
+        for (int i = 0; i < 200; i++) {
+            int size = Integer.BYTES + (i % 10 == 0 ? random.nextInt(200_000) : 0);
+            bodies.add(ByteBuffer.allocate(size).putInt(i).array());
+            results.add(call(bodies.get(i)));
+        }
+        await().until(() -> answers.size() == bodies.size());
+        Collections.shuffle(answers, random);
+        answers.forEach(Runnable::run);
+        for (int i = 0; i < bodies.size(); i++) {
+            assertArrayEquals(bodies.get(i), get(results.get(i)).get());
+        }
+    }
+
+    @Test
+    void quickCallPassesLargeOnes() throws Exception {
+        ConcurrentLinkedQueue<Integer> arrived = new ConcurrentLinkedQueue<>();
+        serve(
+                (type, trafficClass, payload) -> {
+                    arrived.add(payload.length);
+                    return CompletableFuture.completedFuture(new byte[1]);
+                });
+        List<CompletableFuture<Either<CallError, byte[]>>> results = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            results.add(call(TrafficClass.NORMAL, new byte[LARGE_BYTES], LONG_MILLIS));
+        }
+        results.add(call(TrafficClass.NORMAL, new byte[1], LONG_MILLIS));
+        for (CompletableFuture<Either<CallError, byte[]>> result : results) {
+            get(result).get();
+        }
+        assertEquals(1, arrived.peek());
+    }
+
     @Test
     void unreachablePeerIsNotRun() throws Exception {
         var result = mClient.call("127.0.0.1:1", TYPE, TrafficClass.NORMAL, new byte[1], 5000);
@@ -45,18 +102,122 @@
         assertEquals(CallError.Kind.UNREACHABLE, error.kind());
     }
 
+    @Test
+    void cutAfterTheCallMayHaveRun() throws Exception {
+        serve((type, trafficClass, payload) -> new CompletableFuture<>());
+        try (Relay relay = new Relay(mServer.port())) {
+            var result = call(relay.address(), TrafficClass.NORMAL, new byte[1], LONG_MILLIS);
+            await().until(() -> mServer.counters().receivedBytes() > 0);
+            relay.cut();
+            assertEquals(Verdict.MAY_HAVE_RUN, get(result).getLeft().verdict());
+        }
+    }
+
+    @Test
+    void cutInTheMiddleOfTheCallIsNotRunAndNotHandled() throws Exception {
+        ConcurrentLinkedQueue<byte[]> handled = new ConcurrentLinkedQueue<>();
+        serve(
+                (type, trafficClass, payload) -> {
+                    handled.add(payload);
+                    return CompletableFuture.completedFuture(payload);
+                });
+        try (Relay relay = new Relay(mServer.port())) {
+            relay.cutAfter(100_000);
+            byte[] body = new byte[Reassembly.MAX_BODY_BYTES];
+            var result = call(relay.address(), TrafficClass.NORMAL, body, LONG_MILLIS);
+            // The sockets' buffers may hold the rest, so the caller may not know; never RAN.
+            assertTrue(get(result).isLeft());
+            assertTrue(handled.isEmpty());
+        }
+    }
+
+    @Test
+    void silentConnectionIsClosedAndANewOneWorks() throws Exception {
+        serve((type, trafficClass, payload) -> CompletableFuture.completedFuture(payload));
+        try (Relay relay = new Relay(mServer.port())) {
+            get(call(relay.address(), TrafficClass.NORMAL, new byte[1], LONG_MILLIS)).get();
+            relay.fallSilent();
+            var lost = call(relay.address(), TrafficClass.NORMAL, new byte[1], LONG_MILLIS);
+            assertEquals(Verdict.MAY_HAVE_RUN, get(lost).getLeft().verdict());
+            assertEquals(CallError.Kind.BROKEN, get(lost).getLeft().kind());
+            assertEquals(1, mClient.counters().silentConnections());
+            relay.recover();
+            var next = call(relay.address(), TrafficClass.NORMAL, new byte[1], LONG_MILLIS);
+            assertTrue(get(next).isRight());
+        }
+    }
+
+    @Test
+    void lateAnswerIsDroppedAndCounted() throws Exception {
+        ConcurrentLinkedQueue<CompletableFuture<byte[]>> answers = new ConcurrentLinkedQueue<>();
+        serve(
+                (type, trafficClass, payload) -> {
+                    answers.add(new CompletableFuture<>());
+                    return answers.peek();
+                });
+        var result = call(TrafficClass.NORMAL, new byte[1], 200);
+        assertEquals(Verdict.MAY_HAVE_RUN, get(result).getLeft().verdict());
+        answers.element().complete(new byte[100_000]);
+        await().until(() -> mClient.counters().lateAnswers() == 1);
+    }
+
+    @Test
+    void failingHandlerMayHaveRun() throws Exception {
+        serve(
+                (type, trafficClass, payload) -> {
+                    throw new IllegalStateException("fails");
+                });
+        assertEquals(Verdict.MAY_HAVE_RUN, get(call(new byte[1])).getLeft().verdict());
+    }
+
+    @Test
+    void garbageClosesTheConnection() throws Exception {
+        serve((type, trafficClass, payload) -> CompletableFuture.completedFuture(payload));
+        byte[] unknownKind = {0, 0, 0, 7, (byte) 0x96, 99, 0, 0, 0, (byte) 0xc3, 0};
+        byte[] oversize = {0x7f, 0, 0, 0};
+        for (byte[] bytes : List.of(unknownKind, oversize)) {
+            try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), mServer.port())) {
+                socket.getOutputStream().write(bytes);
+                assertEquals(-1, socket.getInputStream().read());
+            }
+        }
+        assertEquals(2, mServer.counters().corruptConnections());
+    }
+
+    @Test
+    void bulkToAnotherRegionLeavesBudgetToUrgent() throws Exception {
+        serve((type, trafficClass, payload) -> CompletableFuture.completedFuture(new byte[1]));
+        LinkBudget budget = new LinkBudget(100_000, LinkBudget.MIN_BURST_BYTES);
+        mClient.setRegions(new LinkRegions("south", address -> "north", budget));
+        var bulk = call(TrafficClass.BULK, new byte[400_000], LONG_MILLIS);
+        await().until(() -> mClient.counters().sentToOtherRegions(TYPE) > 0);
+        var urgent = call(TrafficClass.URGENT, "quick".getBytes(UTF_8), LONG_MILLIS);
+        assertTrue(get(urgent).isRight());
+        assertFalse(bulk.isDone());
+        assertTrue(get(bulk).isRight());
+    }
+
     private void serve(PeerTransport.Handler handler) {
         mServer.setHandler(handler);
         mServer.start();
     }
 
     private CompletableFuture<Either<CallError, byte[]>> call(byte[] body) {
-        String address = "127.0.0.1:" + mServer.port();
-        return mClient.call(address, TYPE, TrafficClass.NORMAL, body, LONG_MILLIS);
+        return call(TrafficClass.NORMAL, body, LONG_MILLIS);
+    }
+
+    private CompletableFuture<Either<CallError, byte[]>> call(
+            TrafficClass trafficClass, byte[] body, long timeoutMillis) {
+        return call("127.0.0.1:" + mServer.port(), trafficClass, body, timeoutMillis);
+    }
+
+    private CompletableFuture<Either<CallError, byte[]>> call(
+            String address, TrafficClass trafficClass, byte[] body, long timeoutMillis) {
+        return mClient.call(address, TYPE, trafficClass, body, timeoutMillis);
     }
 
     private static Either<CallError, byte[]> get(
             CompletableFuture<Either<CallError, byte[]>> result) throws Exception {
-        return result.get(LONG_MILLIS, TimeUnit.MILLISECONDS);
+        return result.get(2 * LONG_MILLIS, TimeUnit.MILLISECONDS);
     }
 }
