--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
@@ -21,7 +21,8 @@
                     new JournalCase(),
                     new TakeoverCase(),
                     new DecisionsCase(),
-                    new PackingCase());
+                    new PackingCase(),
+                    new WaitingCase());
 
     private static final String DEFAULT_SEED = "1";
     private static final String DEFAULT_SECONDS = "30";
--- /dev/null
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/WaitingCase.java
@@ -0,0 +1,183 @@
+package org.hyssoprouter.bench;
+
+import io.vavr.control.Option;
+import java.io.PrintStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import org.hyssoprouter.internal.request.FairQueue;
+import org.hyssoprouter.internal.request.SlotHold;
+import org.hyssoprouter.internal.request.SlotLedger;
+import org.hyssoprouter.lib.ExecutorInfo;
+import org.hyssoprouter.lib.HostInfo;
+import org.hyssoprouter.lib.HostState;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.TrafficClass;
+
+/**
+ * Waiting time of each class while class BULK saturates the slots: the product's queue and slots in
+ * virtual time, against one shared queue in order of arrival with the same arrivals.
+ */
+final class WaitingCase implements MeasureCase {
+    private static final int EXECUTORS = 30;
+    private static final int SLOTS = 8;
+    private static final int BULK_SHARE_PERCENT = 50;
+    private static final int BULK_REQUESTS = 20_000;
+    private static final int NORMAL_PER_SECOND = 500;
+    private static final int URGENT_PER_SECOND = 50;
+    private static final long MILLIS_PER_SECOND = 1000;
+    private static final String SERVICE = "s";
+
+    @Override
+    public String name() {
+        return "waiting";
+    }
+
+    @Override
+    public String description() {
+        return "waiting time per class behind bulk work, decisions in virtual time";
+    }
+
+    @Override
+    public boolean run(MeasureOptions options, PrintStream out) {
+        List<Arrival> arrivals = arrivals(options);
+        long endMillis = options.seconds() * MILLIS_PER_SECOND;
+        Map<TrafficClass, List<Long>> fair = new Run(false, endMillis).waits(arrivals);
+        Map<TrafficClass, List<Long>> fifo = new Run(true, endMillis).waits(arrivals);
+        print(out, "fair queue, bulk share 50 %", fair);
+        print(out, "one shared queue", fifo);
+        for (TrafficClass trafficClass : TrafficClass.values()) {
+            out.printf(
+                    "{\"case\":\"waiting\",\"seed\":%d,\"class\":\"%s\",\"fairP50\":%d,"
+                            + "\"fairP99\":%d,\"fifoP50\":%d,\"fifoP99\":%d}%n",
+                    options.seed(),
+                    trafficClass,
+                    Figures.percentile(fair.getOrDefault(trafficClass, List.of()), 50),
+                    Figures.percentile(fair.getOrDefault(trafficClass, List.of()), 99),
+                    Figures.percentile(fifo.getOrDefault(trafficClass, List.of()), 50),
+                    Figures.percentile(fifo.getOrDefault(trafficClass, List.of()), 99));
+        }
+        return true;
+    }
+
+    private static void print(PrintStream out, String title, Map<TrafficClass, List<Long>> waits) {
+        out.println(title + ", time until the start or the end of the run");
+        waits.forEach(
+                (trafficClass, millis) ->
+                        Figures.row(out, trafficClass.name(), Figures.medianAndTail(millis)));
+    }
+
+    private static List<Arrival> arrivals(MeasureOptions options) {
+        Random random = new Random(options.seed());
+        List<Arrival> arrivals = new ArrayList<>();
+        for (int i = 0; i < BULK_REQUESTS; i++) {
+            arrivals.add(new Arrival(0, TrafficClass.BULK, 1000 + random.nextInt(2000)));
+        }
+        long endMillis = options.seconds() * MILLIS_PER_SECOND;
+        for (long millis = 0; millis < endMillis; millis++) {
+            if (random.nextInt((int) MILLIS_PER_SECOND) < NORMAL_PER_SECOND) {
+                arrivals.add(new Arrival(millis, TrafficClass.NORMAL, 20 + random.nextInt(60)));
+            }
+            if (random.nextInt((int) MILLIS_PER_SECOND) < URGENT_PER_SECOND) {
+                arrivals.add(new Arrival(millis, TrafficClass.URGENT, 10 + random.nextInt(20)));
+            }
+        }
+        return arrivals;
+    }
+
+    private record Arrival(long millis, TrafficClass trafficClass, long serviceMillis) {}
+
+    private record Running(long endMillis, SlotHold hold) {}
+
+    /** One run of the same arrivals through one kind of queue. */
+    private static final class Run {
+        private final boolean mFifo;
+        private final long mEndMillis;
+        private final SlotLedger mLedger = new SlotLedger();
+        private final FairQueue<Arrival> mFair = new FairQueue<>();
+        private final ArrayDeque<Arrival> mShared = new ArrayDeque<>();
+        private final PriorityQueue<Running> mRunning =
+                new PriorityQueue<>(Comparator.comparingLong(Running::endMillis));
+        private final Map<TrafficClass, List<Long>> mWaits = new EnumMap<>(TrafficClass.class);
+        private Option<SlotHold> mTaken = Option.none();
+
+        Run(boolean fifo, long endMillis) {
+            mFifo = fifo;
+            mEndMillis = endMillis;
+            mLedger.update(List.of(host()));
+            mLedger.startAsking(0).forEach(info -> mLedger.answered(info, 0, 0, 0));
+        }
+
+        private static HostInfo host() {
+            List<ExecutorInfo> executors = new ArrayList<>();
+            for (int i = 0; i < EXECUTORS; i++) {
+                executors.add(new ExecutorInfo("e" + i, SERVICE, "127.0.0.1:" + i, SLOTS, 64));
+            }
+            return new HostInfo(
+                    "w", "r", "d", "k", "127.0.0.1:1", HostState.LIVE, Room.NONE, executors);
+        }
+
+        Map<TrafficClass, List<Long>> waits(List<Arrival> arrivals) {
+            int next = 0;
+            for (long millis = 0; millis < mEndMillis; millis++) {
+                release(millis);
+                while (next < arrivals.size() && arrivals.get(next).millis() <= millis) {
+                    add(arrivals.get(next));
+                    next++;
+                }
+                startAll(millis);
+            }
+            mShared.forEach(waiting -> note(waiting, mEndMillis));
+            mFair.drain().forEach(waiting -> note(waiting, mEndMillis));
+            return mWaits;
+        }
+
+        private void release(long millis) {
+            while (!mRunning.isEmpty() && mRunning.element().endMillis() <= millis) {
+                mLedger.release(mRunning.remove().hold(), true);
+            }
+        }
+
+        private void add(Arrival arrival) {
+            if (mFifo) {
+                mShared.add(arrival);
+                return;
+            }
+            String customer = arrival.trafficClass() == TrafficClass.BULK ? "guild" : "lefain";
+            mFair.add(arrival.trafficClass(), customer, 1, arrival.serviceMillis(), arrival);
+        }
+
+        private void startAll(long millis) {
+            Option<Arrival> started = poll();
+            while (started.isDefined()) {
+                Arrival arrival = started.get();
+                note(arrival, millis);
+                mRunning.add(new Running(millis + arrival.serviceMillis(), mTaken.get()));
+                started = poll();
+            }
+        }
+
+        private Option<Arrival> poll() {
+            if (!mFifo) {
+                return mFair.poll(arrival -> take(arrival.trafficClass()));
+            }
+            boolean canStart = !mShared.isEmpty() && take(TrafficClass.NORMAL);
+            return canStart ? Option.some(mShared.remove()) : Option.none();
+        }
+
+        private boolean take(TrafficClass trafficClass) {
+            mTaken = mLedger.take(SERVICE, trafficClass, BULK_SHARE_PERCENT);
+            return mTaken.isDefined();
+        }
+
+        private void note(Arrival arrival, long millis) {
+            mWaits.computeIfAbsent(arrival.trafficClass(), unused -> new ArrayList<>())
+                    .add(millis - arrival.millis());
+        }
+    }
+}
