Move the token bucket to the utilities

Cause: the link used it from the decisions on requests, and the test of the layers forbids that. Change: moved without a change; the link and the rate limits share it.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/RegionBudget.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/RegionBudget.java
@@ -1,9 +1,9 @@
 package org.hyssoprouter.daemon.peer;
 
 import java.util.concurrent.locks.ReentrantLock;
-import org.hyssoprouter.internal.request.TokenBucket;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.util.MonotonicClock;
+import org.hyssoprouter.util.TokenBucket;
 
 /**
  * Bytes that a daemon may send to other regions, shared by all of its connections there. Each class
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/request/RateLimits.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/request/RateLimits.java
@@ -3,6 +3,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.locks.ReentrantLock;
+import org.hyssoprouter.util.TokenBucket;
 
 /**
  * Requests a second that each customer may send through one entry. Safe for use by several threads.
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/request/TokenBucket.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/util/TokenBucket.java
@@ -1,4 +1,4 @@
-package org.hyssoprouter.internal.request;
+package org.hyssoprouter.util;
 
 /**
  * Budget that refills at a constant rate up to a limit. Not safe for use by several threads.
