--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Measure.java
@@ -17,6 +17,8 @@
 public final class Measure {
     private static final List<MeasureCase> CASES =
             List.of(
+                    new ControlCase(),
+                    new SlopesCase(),
                     new FaultsCase(),
                     new JournalCase(),
                     new TakeoverCase(),
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpHostList.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpHostList.java
@@ -2,12 +2,16 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import okhttp3.Request;
+import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.lib.HostInfo;
 import org.hyssoprouter.transport.HostList;
+import org.jspecify.annotations.Nullable;
 
 /**
- * The platform's list of hosts over HTTP, see docs/PORTS.md.
+ * The platform's list of hosts over HTTP, see docs/PORTS.md. A list that has not changed is not
+ * sent again where the platform gives entity tags.
  *
  * @since 0.1
  */
@@ -15,6 +19,8 @@
     private final HttpCaller mCaller;
     private final String mAddress;
     private final long mTimeoutMillis;
+    private String mEntityTag = "";
+    private List<HostInfo> mLast = List.of();
 
     /**
      * Creates the adapter.
@@ -29,12 +35,29 @@
     }
 
     @Override
-    public Either<TableError, List<HostInfo>> list() {
-        return mCaller.callAndWait(JsonHttp.get(mAddress, "/hosts"), mTimeoutMillis)
-                .flatMap(reply -> JsonHttp.decode(reply, Hosts.class))
-                .map(Hosts::hosts)
+    public synchronized Either<TableError, List<HostInfo>> list() {
+        Request request = JsonHttp.get(mAddress, "/hosts");
+        if (!mEntityTag.isEmpty()) {
+            request = request.newBuilder().header("If-None-Match", mEntityTag).build();
+        }
+        return mCaller.callAndWait(request, mTimeoutMillis)
+                .flatMap(this::read)
                 .mapLeft(error -> TableError.unavailable(error.message()));
     }
 
+    private Either<CallError, List<HostInfo>> read(HttpReply reply) {
+        if (reply.status() == HttpReply.NOT_MODIFIED) {
+            return Either.right(mLast);
+        }
+        return JsonHttp.decode(reply, Hosts.class)
+                .map(Hosts::hosts)
+                .peek(hosts -> keep(hosts, reply.entityTag()));
+    }
+
+    private void keep(List<HostInfo> hosts, @Nullable String entityTag) {
+        mLast = hosts;
+        mEntityTag = entityTag == null ? "" : entityTag;
+    }
+
     private record Hosts(List<HostInfo> hosts) {}
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpReply.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpReply.java
@@ -9,12 +9,15 @@
  *
  * @param status HTTP status
  * @param refused value of the header {@code Hyssop-Refused}, or null
+ * @param entityTag value of the header {@code ETag}, or null
  * @param body content
  * @since 0.1
  */
-public record HttpReply(int status, @Nullable String refused, byte[] body) {
+public record HttpReply(
+        int status, @Nullable String refused, @Nullable String entityTag, byte[] body) {
     static final int OK = 200;
     static final int NO_CONTENT = 204;
+    static final int NOT_MODIFIED = 304;
     static final int NOT_FOUND = 404;
     static final int CONFLICT = 409;
 
@@ -25,6 +28,9 @@
      */
     static HttpReply of(Response response) throws IOException {
         return new HttpReply(
-                response.code(), response.header("Hyssop-Refused"), response.body().bytes());
+                response.code(),
+                response.header("Hyssop-Refused"),
+                response.header("ETag"),
+                response.body().bytes());
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/CellModule.java
@@ -38,7 +38,6 @@
  */
 @Module
 public final class CellModule {
-    private static final long HEARTBEAT_MILLIS = 1_000;
     private static final long COMMIT_RETRY_MILLIS = 100;
     private static final long CONFIG_MAX_AGE_MILLIS = 5_000;
     private static final int SNAPSHOT_ROWS = 200;
@@ -151,7 +150,8 @@
         GroupSettings groups =
                 new GroupSettings(
                         timing.groupMillis(),
-                        HEARTBEAT_MILLIS,
+                        // Two groups in the time of a confirmation: one may be late.
+                        timing.confirmMillis() / 2,
                         COMMIT_RETRY_MILLIS,
                         settings.limits().tableWritesPerSecond());
         return new OwnershipSettings(
