--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
@@ -168,15 +168,27 @@
      * @throws IllegalStateException if none is named
      */
     public DaemonProcess ownerOf(String shard) {
+        return namedOwner(shard)
+                .getOrElseThrow(
+                        () -> new IllegalStateException("no daemon names an owner of " + shard));
+    }
+
+    private Option<DaemonProcess> namedOwner(String shard) {
         for (DaemonProcess daemon : mDaemons) {
             JsonNode rows = mClient.operator(daemon, "GET", "/v1/shards", null).json();
             for (JsonNode row : rows) {
                 if (row.path("shard").asText().equals(shard)) {
-                    return daemon(row.path("owner").asText());
+                    return Option.of(daemon(row.path("owner").asText()));
                 }
             }
         }
-        throw new IllegalStateException("no daemon names an owner of " + shard);
+        return Option.none();
+    }
+
+    /** Waits until a shard has an owner. */
+    public DaemonProcess awaitOwner(String shard) {
+        await("owner of " + shard, START_TIMEOUT_MILLIS, () -> namedOwner(shard).isDefined());
+        return ownerOf(shard);
     }
 
     /**
@@ -190,11 +202,7 @@
     }
 
     private boolean hasOwnerExcept(@Nullable DaemonProcess former, String shard) {
-        try {
-            return ownerOf(shard) != former;
-        } catch (IllegalStateException e) {
-            return false;
-        }
+        return namedOwner(shard).exists(owner -> owner != former);
     }
 
     /** Returns all executors. */
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/CellClient.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/CellClient.java
@@ -8,6 +8,7 @@
 import java.time.Duration;
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
+import okhttp3.Call;
 import okhttp3.ConnectionPool;
 import okhttp3.MediaType;
 import okhttp3.OkHttpClient;
@@ -30,6 +31,7 @@
 
     private static final MediaType JSON = MediaType.get("application/json");
     private static final MediaType BYTES = MediaType.get("application/octet-stream");
+    private static final long VIEW_TIMEOUT_SECONDS = 3;
     private static final long GRACE_MILLIS = 2_000;
 
     private final OkHttpClient mClient =
@@ -140,7 +142,12 @@
                         .header("Authorization", "Bearer " + OPERATOR_TOKEN)
                         .method(method, content)
                         .build();
-        try (Response response = mClient.newCall(request).execute()) {
+        Call pending = mClient.newCall(request);
+        if (method.equals("GET")) {
+            // A frozen daemon accepts connections and answers nothing.
+            pending.timeout().timeout(VIEW_TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        }
+        try (Response response = pending.execute()) {
             return new Reply(response.code(), response.body().bytes());
         } catch (IOException e) {
             return new Reply(0, e.toString().getBytes(StandardCharsets.UTF_8));
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Demo.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Demo.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.bench;
 
+import java.io.IOException;
 import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -46,12 +47,15 @@
 
     /** Takes no arguments; exits 0 when every promise held. */
     public static void main(String[] args) throws Exception {
-        boolean held;
+        boolean held = false;
         System.out.println("starting the stand-ins and 8 daemons");
         try (Cell cell = Cell.start(plan())) {
             Demo demo = new Demo(cell, System.out);
             held = demo.run();
             demo.mCallers.close();
+        } catch (IOException | RuntimeException e) {
+            // Not rethrown: threads of the callers would keep the process alive.
+            System.getLogger(Demo.class.getName()).log(System.Logger.Level.ERROR, "failed", e);
         }
         System.exit(held ? 0 : 1);
     }
@@ -71,7 +75,7 @@
         for (int i = 0; i < REQUESTS / 2; i++) {
             open.add(mCallers.send(request(i)));
         }
-        DaemonProcess owner = mCell.ownerOf("south-a");
+        DaemonProcess owner = mCell.awaitOwner("south-a");
         mOut.printf(
                 "killing %s, the owner of south-a (process %d)%n",
                 owner.name(), owner.process().id());
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Scenario.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Scenario.java
@@ -110,6 +110,22 @@
         mLeaves.add(new History.Leave(worker, executors, System.currentTimeMillis()));
     }
 
+    /**
+     * Waits until so many different requests were answered as having run, so that a slow machine
+     * gives as long a history as a fast one.
+     */
+    public void awaitRan(long count) {
+        Cell.await(count + " requests that ran", JOB_TIMEOUT_MILLIS, () -> ran() >= count);
+    }
+
+    private long ran() {
+        return mCallers.answers().stream()
+                .filter(CallerAnswer::ran)
+                .map(answer -> answer.request().key())
+                .distinct()
+                .count();
+    }
+
     /**
      * Ends the load and waits until every request is settled and every job has ended.
      *
--- a/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/AnswersSystemTest.java
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/AnswersSystemTest.java
@@ -31,6 +31,7 @@
             frozen.process().thaw();
             cell.daemons().get(3).process().kill();
             Cell.pause(3_000);
+            scenario.awaitRan(100);
             scenario.finish();
             assertPromises(scenario.history(), 100, 0);
         }
@@ -53,6 +54,7 @@
             cell.client().fault(cell.executors().get(0).address(), "{'silent':false}");
             cell.client().fault(cell.executors().get(2).address(), "{'delayMillis':900}");
             Cell.pause(2_000);
+            scenario.awaitRan(100);
             scenario.finish();
             assertPromises(scenario.history(), 100, 0);
         }
--- a/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/AtMostOnceSystemTest.java
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/AtMostOnceSystemTest.java
@@ -45,6 +45,7 @@
             owner.process().kill();
             cell.awaitOwnerOtherThan(owner, SHARD);
             Cell.pause(3_000);
+            scenario.awaitRan(100);
             scenario.finish();
             assertPromises(scenario.history(), 100, 0);
         }
--- a/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/LeavingSystemTest.java
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/LeavingSystemTest.java
@@ -6,7 +6,6 @@
 import org.junit.jupiter.api.Test;
 
 @Tag("system")
-@Tag("known-red")
 class LeavingSystemTest {
     private static final String SHARD = "south-a";
 
@@ -28,6 +27,7 @@
             Cell.pause(2_500);
             frozen.process().thaw();
             Cell.pause(4_000);
+            scenario.awaitRan(100);
             scenario.finish();
             assertPromises(scenario.history(), 100, 200);
         }
--- a/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/OwnerFaultsSystemTest.java
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/OwnerFaultsSystemTest.java
@@ -36,6 +36,7 @@
             third.process().kill();
             second.process().thaw();
             cell.awaitOwnerOtherThan(third, SHARD);
+            scenario.awaitRan(100);
             scenario.finish();
             assertPromises(scenario.history(), 100, 150);
         }
@@ -61,6 +62,7 @@
             cell.client().fault(cell.platformAddress(), "{'outage':true}");
             Cell.pause(2_000);
             cell.client().fault(cell.platformAddress(), "{'outage':false}");
+            scenario.awaitRan(50);
             scenario.finish();
             assertPromises(scenario.history(), 50, 60);
         }
--- a/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/PlannedStopSystemTest.java
+++ b/org.hyssoprouter.bench/src/test/java/org/hyssoprouter/bench/PlannedStopSystemTest.java
@@ -12,7 +12,6 @@
 import org.junit.jupiter.api.Test;
 
 @Tag("system")
-@Tag("known-red")
 class PlannedStopSystemTest {
     private static final String SHARD = "south-a";
     private static final int EXIT_SECONDS = 30;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
@@ -15,8 +15,11 @@
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.daemon.ownership.OwnershipService;
+import org.hyssoprouter.daemon.peer.LinkBudget;
+import org.hyssoprouter.daemon.peer.LinkRegions;
 import org.hyssoprouter.daemon.peer.PeerLink;
 import org.hyssoprouter.daemon.settings.DaemonSettings;
+import org.hyssoprouter.internal.ownership.DaemonRow;
 import org.hyssoprouter.transport.PeerCallType;
 import org.hyssoprouter.util.Service;
 
@@ -75,6 +78,7 @@
         mPeerLink.setHandler(mDispatcher);
         mDispatcher.registerRaw(PeerCallType.CONFIG_VERSION, mConfiguration::onVersionCall);
         mOwnership.onConfigRow(mConfiguration::onRow);
+        mPeerLink.setRegions(linkRegions());
         mPeerLink.start();
         mOwnership.start();
         mConfiguration.start();
@@ -83,6 +87,22 @@
         LOG.log(LogEvent.DAEMON_STARTED, mSettings.name(), mSettings.http(), mSettings.peer());
     }
 
+    private LinkRegions linkRegions() {
+        long bytesPerSecond = mSettings.limits().regionLinkBytesPerSecond();
+        LinkBudget budget =
+                new LinkBudget(
+                        bytesPerSecond, Math.max(bytesPerSecond, LinkBudget.MIN_BURST_BYTES));
+        return new LinkRegions(mSettings.region(), this::regionOf, budget);
+    }
+
+    private String regionOf(String peerAddress) {
+        return mOwnership.liveDaemons().stream()
+                .filter(daemon -> daemon.peerAddress().equals(peerAddress))
+                .map(DaemonRow::region)
+                .findFirst()
+                .orElse("");
+    }
+
     /** Stops as planned: no new work, shards handed over, requests in flight finished. */
     @Override
     public void stop() {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigurationService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/configuration/ConfigurationService.java
@@ -117,8 +117,10 @@
      * @param startedMillis monotonic time at which the read began
      */
     public void onRow(Row row, long startedMillis) {
-        ConfigRows.decode(row.value()).peek(this::apply);
-        mFreshness.checked(startedMillis);
+        Option<ConfigDocument> document = ConfigRows.decode(row.value());
+        document.peek(this::apply);
+        // An unreadable row may be a newer version, so it is no check of the one in force.
+        document.peek(known -> mFreshness.checked(startedMillis));
     }
 
     @Override
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/DaemonSettings.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/DaemonSettings.java
@@ -50,10 +50,15 @@
      * Budgets and bounds.
      *
      * @param tableWritesPerSecond commits to the table
+     * @param regionLinkBytesPerSecond bytes to daemons of other regions
      * @param maxBodyBytes largest body of a call
      * @param httpThreads threads for HTTP
      */
-    public record Limits(int tableWritesPerSecond, int maxBodyBytes, int httpThreads) {}
+    public record Limits(
+            int tableWritesPerSecond,
+            long regionLinkBytesPerSecond,
+            int maxBodyBytes,
+            int httpThreads) {}
 
     /** Returns the settings without the operators' token, for logs. */
     @Override
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/Setting.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/Setting.java
@@ -39,6 +39,8 @@
     WORKER_TIMEOUT_MILLIS("workerTimeoutMillis", 2_000, 50, 30_000),
     /** Budget of table commits of this daemon. */
     TABLE_WRITES_PER_SECOND("tableWritesPerSecond", 25, 1, 10_000),
+    /** Budget of the link to other regions. */
+    REGION_LINK_BYTES_PER_SECOND("regionLinkBytesPerSecond", 250_000, 1_000, 1_000_000_000),
     /** Largest body of a call to the HTTP API. */
     MAX_BODY_BYTES("maxBodyBytes", 4_194_304, 1_024, 67_108_864),
     /** Threads that handle HTTP input and output. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/SettingsLoader.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/settings/SettingsLoader.java
@@ -193,6 +193,7 @@
                         (int) number(Setting.DRAIN_SECONDS)),
                 new DaemonSettings.Limits(
                         (int) number(Setting.TABLE_WRITES_PER_SECOND),
+                        number(Setting.REGION_LINK_BYTES_PER_SECOND),
                         (int) number(Setting.MAX_BODY_BYTES),
                         (int) number(Setting.HTTP_THREADS)));
     }
