--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/JsonHttp.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/JsonHttp.java
@@ -11,17 +11,23 @@
 import org.hyssoprouter.lib.Verdict;
 import org.hyssoprouter.util.MessageCodec;
 
-/** Requests and answers in JSON, shared by the adapters. */
-final class JsonHttp {
+/**
+ * Requests and answers in JSON, shared by the adapters.
+ *
+ * @since 0.1
+ */
+public final class JsonHttp {
     private static final MediaType JSON = MediaType.get("application/json");
 
     private JsonHttp() {}
 
-    static Request post(String address, String path, Object message) {
+    /** Returns a POST call with a message in JSON. */
+    public static Request post(String address, String path, Object message) {
         return new Request.Builder().url(url(address, path)).post(body(message)).build();
     }
 
-    static Request get(String address, String path) {
+    /** Returns a GET call. */
+    public static Request get(String address, String path) {
         return new Request.Builder().url(url(address, path)).build();
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/ApiServer.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/ApiServer.java
@@ -1,17 +1,12 @@
 package org.hyssoprouter.daemon.http;
 
 import io.jooby.Context;
-import io.jooby.ExecutionMode;
 import io.jooby.Jooby;
-import io.jooby.ServerOptions;
 import io.jooby.StatusCode;
-import io.jooby.netty.NettyServer;
-import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssoprouter.errors.Refusal;
 import org.hyssoprouter.errors.RefusalCode;
 import org.hyssoprouter.util.Service;
-import org.jspecify.annotations.Nullable;
 
 /**
  * HTTP server for callers and operators. Handlers never block: they run on the threads of input and
@@ -20,17 +15,23 @@
  * @since 0.1
  */
 public final class ApiServer implements Service {
-    private static final int WORKER_THREADS = 1;
-
     private final ApiOptions mOptions;
     private final ApiServices mServices;
     private final AtomicInteger mInFlight = new AtomicInteger();
-    private @Nullable NettyServer mServer;
+    private final HttpListener mListener;
 
     /** Creates a server that listens after {@link #start()}. */
     public ApiServer(ApiOptions options, ApiServices services) {
         mOptions = options;
         mServices = services;
+        mListener =
+                new HttpListener(
+                        new HttpListener.Options(
+                                options.ip(),
+                                options.port(),
+                                options.threads(),
+                                options.maxBodyBytes()),
+                        this::install);
     }
 
     /** Returns the number of calls that have arrived whole and are not answered yet. */
@@ -39,48 +40,21 @@
     }
 
     @Override
-    public synchronized void start() {
-        if (mServer != null) {
-            return;
-        }
-        NettyServer server = new PlainNettyServer();
-        server.setOptions(serverOptions());
-        server.start(application());
-        mServer = server;
+    public void start() {
+        mListener.start();
     }
 
     @Override
-    public synchronized void stop() {
-        if (mServer == null) {
-            return;
-        }
-        mServer.stop();
-        mServer = null;
-    }
-
-    private ServerOptions serverOptions() {
-        ServerOptions options = new ServerOptions();
-        options.setHost(mOptions.ip());
-        options.setPort(mOptions.port());
-        options.setIoThreads(mOptions.threads());
-        options.setWorkerThreads(WORKER_THREADS);
-        options.setMaxRequestSize(mOptions.maxBodyBytes());
-        // Bodies above the buffer size would go to a file; hosts have no disk.
-        options.setBufferSize(mOptions.maxBodyBytes() + 1);
-        options.setDefaultHeaders(false);
-        return options;
+    public void stop() {
+        mListener.stop();
     }
 
-    private Jooby application() {
-        Jooby app = new Jooby();
-        app.setExecutionMode(ExecutionMode.EVENT_LOOP);
-        app.setStartupSummary(List.of());
+    private void install(Jooby app) {
         app.before(this::count);
         new RequestRoutes(mOptions, mServices).install(app);
         new OperatorRoutes(mOptions, mServices).install(app);
         new HealthRoutes(mServices).install(app);
         app.error(ApiServer::fail);
-        return app;
     }
 
     private void count(Context context) {
@@ -117,12 +91,4 @@
         return Refusal.mayHaveRun(
                 RefusalCode.TARGET_FAILED, "internal failure: " + cause.getClass().getSimpleName());
     }
-
-    /** Leaves planned stops to the daemon: the library's own hook would cut calls in flight. */
-    private static final class PlainNettyServer extends NettyServer {
-        @Override
-        protected void addShutdownHook() {
-            // Stopped by ApiServer.stop() only.
-        }
-    }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/AsyncHandler.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/http/AsyncHandler.java
@@ -6,11 +6,16 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.Function;
 
-/** Handler that sends its answer when a future completes, and holds no thread until then. */
-final class AsyncHandler implements Route.Handler {
+/**
+ * Handler that sends its answer when a future completes, and holds no thread until then.
+ *
+ * @since 0.1
+ */
+public final class AsyncHandler implements Route.Handler {
     private final Function<Context, CompletableFuture<Context>> mCall;
 
-    AsyncHandler(Function<Context, CompletableFuture<Context>> call) {
+    /** Creates a handler of calls. */
+    public AsyncHandler(Function<Context, CompletableFuture<Context>> call) {
         mCall = call;
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -34,7 +34,43 @@
     /** A row or message has an unexpected form. */
     ROW_UNREADABLE(4001, Level.ERROR, "unreadable row or message", "key", "reason"),
     /** A background task failed; it runs again. */
-    TASK_FAILED(4002, Level.ERROR, "background task failed", "task", "reason");
+    TASK_FAILED(4002, Level.ERROR, "background task failed", "task", "reason"),
+    /** A workflow was stored. */
+    WORKFLOW_ACCEPTED(5001, Level.INFO, "workflow accepted", "id", "queue", "millis", "config"),
+    /** A submission was turned away or its outcome is unknown. */
+    WORKFLOW_NOT_ACCEPTED(
+            5002, Level.INFO, "workflow not accepted", "id", "queue", "verdict", "reason"),
+    /** A cancellation was stored. */
+    WORKFLOW_CANCEL_STORED(5003, Level.INFO, "cancellation stored", "id", "state"),
+    /** A question for a workflow's state was answered without its state. */
+    WORKFLOW_UNKNOWN(5004, Level.INFO, "state not known", "id", "status", "reason"),
+    /** A decision of the scheduler. */
+    DECISION(5005, Level.INFO, "decision", "subject", "what", "inputs"),
+    /** An order to start a run was sent. */
+    RUN_SENT(5006, Level.INFO, "start sent", "task", "run", "worker", "epoch"),
+    /** The approval service was asked. */
+    APPROVAL_ANSWERED(
+            5007, Level.INFO, "approval answered", "step", "named", "approved", "millis", "via"),
+    /** This daemon became owner of the pools. */
+    POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
+    /** This daemon is no longer owner of the pools. */
+    POOLS_LOST(5102, Level.INFO, "no longer owns pools", "epoch", "reason"),
+    /** The state of the pools was read and placement begins. */
+    POOLS_OPENED(5103, Level.INFO, "pools open", "epoch", "workflows", "millis"),
+    /** Another daemon owns the pools. */
+    OWNER_SEEN(5104, Level.INFO, "owner seen", "owner", "epoch"),
+    /** A commit of the owner failed and is made again. */
+    COMMIT_RETRIED(5105, Level.WARNING, "commit made again", "epoch", "sequence", "reason"),
+    /** A worker did not answer. */
+    WORKER_SILENT(5106, Level.INFO, "worker silent", "worker", "reason"),
+    /** A worker that did not answer does so again. */
+    WORKER_BACK(5107, Level.INFO, "worker answers again", "worker"),
+    /** The table store does not answer this daemon. */
+    TABLE_LOST(5201, Level.WARNING, "table store lost", "table", "reason"),
+    /** The table store answers this daemon again. */
+    TABLE_BACK(5202, Level.INFO, "table store back", "table", "version"),
+    /** The settings file was read again. */
+    SETTINGS_RELOADED(5301, Level.INFO, "settings read again", "file", "outcome");
 
     private static final String SEPARATOR = ",";
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogSetup.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogSetup.java
@@ -7,7 +7,7 @@
 import java.util.logging.Logger;
 
 /**
- * Sends the log to standard error, one line an event.
+ * Sends the log to standard output, one line an event.
  *
  * @since 0.1
  */
@@ -24,7 +24,7 @@
             root.removeHandler(handler);
         }
         root.setLevel(Level.INFO);
-        root.addHandler(new StreamLines(System.err));
+        root.addHandler(new StreamLines(System.out));
     }
 
     /** Writes each record at once. Closing has no effect: a planned stop logs until the exit. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/TaskThread.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/TaskThread.java
@@ -8,14 +8,19 @@
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
 
-/** One thread that runs tasks one after the other and logs those that fail. */
-final class TaskThread implements Tasks {
+/**
+ * One thread that runs tasks one after the other and logs those that fail.
+ *
+ * @since 0.1
+ */
+public final class TaskThread implements Tasks {
     private static final EventLogger LOG = EventLogger.of(TaskThread.class);
 
     private final String mName;
     private final ScheduledExecutorService mExecutor;
 
-    TaskThread(String name) {
+    /** Starts a thread of that name. */
+    public TaskThread(String name) {
         mName = name;
         mExecutor =
                 Executors.newSingleThreadScheduledExecutor(
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/Tasks.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ownership/Tasks.java
@@ -2,8 +2,12 @@
 
 import java.util.concurrent.Executor;
 
-/** Runs tasks one after the other. */
-interface Tasks extends Executor {
+/**
+ * Runs tasks one after the other.
+ *
+ * @since 0.1
+ */
+public interface Tasks extends Executor {
     /** Runs a task after a delay; drops it once it was told to stop. */
     void later(Runnable task, long delayMillis);
 
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -0,0 +1,167 @@
+package org.hyssoprouter.daemon.workflow;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.lib.workflow.ApprovalRequest;
+import org.hyssoprouter.lib.workflow.Approvals;
+import org.hyssoprouter.util.MonotonicClock;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Spreads requests for approval over all daemons, since the service serves one call at a time for
+ * each caller. Load pattern: calls of a second for wide gangs beside many short urgent ones; long
+ * calls use some of the daemons only, so that the others stay free for short ones.
+ */
+final class ApprovalDispatcher {
+    private static final EventLogger LOG = EventLogger.of(ApprovalDispatcher.class);
+
+    /** Calls of this length or longer go to the daemons that are set apart for them. */
+    private static final double LONG_CALL_MILLIS = 250;
+
+    /** Added to the expected time before a call counts as lost. */
+    private static final long TIMEOUT_SLACK_MILLIS = 900;
+
+    /** Time for which a daemon whose call failed gets none. */
+    private static final long FAILED_MILLIS = 1_500;
+
+    private final Members mMembers;
+    private final ApprovalCalls mCalls;
+    private final PoolScheduler mScheduler;
+    private final Tasks mThread;
+    private final MonotonicClock mClock;
+    private final Runnable mAnswered;
+    private final List<ApprovalRequest> mWaiting = new ArrayList<>();
+    private final Map<String, Lane> mLanes = new HashMap<>();
+    private boolean mClosed;
+
+    /** Calls through one daemon. */
+    private static final class Lane {
+        boolean mBusy;
+        long mNotBeforeMillis;
+    }
+
+    /** Asks the approval service through a daemon. */
+    interface ApprovalCalls {
+        CompletableFuture<Either<CallError, Approvals>> ask(
+                MemberRow via, ApprovalRequest request, long timeoutMillis);
+    }
+
+    ApprovalDispatcher(
+            Members members,
+            ApprovalCalls calls,
+            PoolScheduler scheduler,
+            Tasks thread,
+            MonotonicClock clock,
+            Runnable answered) {
+        mMembers = members;
+        mCalls = calls;
+        mScheduler = scheduler;
+        mThread = thread;
+        mClock = clock;
+        mAnswered = answered;
+    }
+
+    void close() {
+        mClosed = true;
+    }
+
+    void add(List<ApprovalRequest> requests) {
+        mWaiting.addAll(requests);
+        mWaiting.sort(Comparator.comparingInt(ApprovalRequest::priority));
+        pump();
+    }
+
+    /** Sends what waits through the daemons that are free. */
+    void pump() {
+        if (mClosed || mWaiting.isEmpty()) {
+            return;
+        }
+        List<MemberRow> members = mMembers.all();
+        int longLanes = Math.max(1, members.size() / 2);
+        List<ApprovalRequest> left = new ArrayList<>();
+        for (ApprovalRequest request : mWaiting) {
+            boolean isLong = request.expectedMillis() >= LONG_CALL_MILLIS;
+            // Short calls look from the other end, so that they seldom meet the long ones.
+            MemberRow via =
+                    isLong
+                            ? free(members.subList(0, longLanes), false)
+                            : free(members, true);
+            if (via == null) {
+                left.add(request);
+            } else {
+                send(request, via);
+            }
+        }
+        mWaiting.clear();
+        mWaiting.addAll(left);
+    }
+
+    private @Nullable MemberRow free(
+            List<MemberRow> members, boolean fromEnd) {
+        long nowMillis = mClock.millis();
+        for (int i = 0; i < members.size(); i++) {
+            MemberRow member = members.get(fromEnd ? members.size() - 1 - i : i);
+            Lane lane = mLanes.computeIfAbsent(member.name(), name -> new Lane());
+            if (!lane.mBusy && lane.mNotBeforeMillis <= nowMillis) {
+                return member;
+            }
+        }
+        return null;
+    }
+
+    private void send(ApprovalRequest request, MemberRow via) {
+        Lane lane = mLanes.computeIfAbsent(via.name(), name -> new Lane());
+        lane.mBusy = true;
+        long sentMillis = mClock.millis();
+        long timeoutMillis = (long) request.expectedMillis() + TIMEOUT_SLACK_MILLIS;
+        CompletableFuture<Void> unused =
+                mCalls.ask(via, request, timeoutMillis)
+                        .thenAccept(
+                                result ->
+                                        mThread.execute(
+                                                () ->
+                                                        answered(
+                                                                request, via, lane, result,
+                                                                sentMillis)));
+    }
+
+    private void answered(
+            ApprovalRequest request,
+            MemberRow via,
+            Lane lane,
+            Either<CallError, Approvals> result,
+            long sentMillis) {
+        if (mClosed) {
+            return;
+        }
+        lane.mBusy = false;
+        long nowMillis = mClock.millis();
+        String approved =
+                result.fold(CallError::message, it -> Integer.toString(it.tickets().size()));
+        LOG.log(
+                LogEvent.APPROVAL_ANSWERED,
+                request.step(),
+                request.workers().size(),
+                approved,
+                nowMillis - sentMillis,
+                via.name());
+        if (result.isLeft()) {
+            lane.mNotBeforeMillis = nowMillis + FAILED_MILLIS;
+            mScheduler.notApproved(request, nowMillis);
+        } else {
+            mScheduler.approved(request, result.get(), nowMillis);
+        }
+        mAnswered.run();
+        pump();
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
@@ -0,0 +1,153 @@
+package org.hyssoprouter.daemon.workflow;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ThreadLocalRandom;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * Writes rows of one partition of the jobs that must not exist yet; a row that exists counts as
+ * written. Rows that arrive while a transaction is open go into the next one.
+ */
+final class JobWriter {
+    /** Time for which a write whose outcome is unknown is made again. */
+    static final long GIVE_UP_MILLIS = 2_000;
+
+    private static final long RETRY_MILLIS = 60;
+    private static final int MAX_ROWS = 40;
+    private static final int MAX_BYTES = 600_000;
+
+    private final PartitionTable mTable;
+    private final String mPartition;
+    private final Tasks mThread;
+    private final MonotonicClock mClock;
+    private final List<Job> mWaiting = new ArrayList<>();
+    private boolean mBusy;
+
+    /** A row to write. */
+    private static final class Job {
+        final String mKey;
+        final byte[] mValue;
+        final long mSinceMillis;
+        final CompletableFuture<SubmitResult> mResult = new CompletableFuture<>();
+        boolean mOpen;
+
+        Job(String key, byte[] value, long sinceMillis) {
+            mKey = key;
+            mValue = value;
+            mSinceMillis = sinceMillis;
+        }
+    }
+
+    JobWriter(PartitionTable table, String partition, Tasks thread, MonotonicClock clock) {
+        mTable = table;
+        mPartition = partition;
+        mThread = thread;
+        mClock = clock;
+    }
+
+    CompletableFuture<SubmitResult> write(String key, byte[] value) {
+        Job job = new Job(key, value, mClock.millis());
+        mThread.execute(
+                () -> {
+                    mWaiting.add(job);
+                    pump();
+                });
+        return job.mResult;
+    }
+
+    private void pump() {
+        if (mBusy || mWaiting.isEmpty()) {
+            return;
+        }
+        List<Job> group = new ArrayList<>();
+        Set<String> keys = new HashSet<>();
+        int bytes = 0;
+        for (Job job : mWaiting) {
+            bytes += job.mValue.length;
+            boolean fits = group.size() < MAX_ROWS && (group.isEmpty() || bytes < MAX_BYTES);
+            if (fits && keys.add(job.mKey)) {
+                group.add(job);
+            }
+        }
+        mWaiting.removeAll(group);
+        send(group);
+    }
+
+    private void send(List<Job> group) {
+        mBusy = true;
+        PartitionTable.Batch batch = new PartitionTable.Batch(mPartition);
+        for (Job job : group) {
+            batch.check(Tables.JOBS, job.mKey, PartitionTable.ABSENT);
+            batch.put(Tables.JOBS, job.mKey, job.mValue);
+        }
+        mTable.commit(batch)
+                .thenAccept(result -> mThread.execute(() -> answered(group, result)));
+    }
+
+    private void answered(
+            List<Job> group, Either<PartitionTable.Failure, PartitionTable.Committed> result) {
+        mBusy = false;
+        if (result.isRight()) {
+            group.forEach(job -> job.mResult.complete(SubmitResult.DONE));
+            pump();
+            return;
+        }
+        PartitionTable.Failure failure = result.getLeft();
+        switch (failure.error().kind()) {
+            case CONFLICT -> conflicting(group, failure.current());
+            case UNKNOWN -> again(group, true, failure.error());
+            case UNAVAILABLE -> again(group, false, failure.error());
+        }
+    }
+
+    private void conflicting(List<Job> group, List<PartitionTable.Entry> current) {
+        Set<String> present = new HashSet<>();
+        for (PartitionTable.Entry entry : current) {
+            if (entry.value() != null && entry.version() > PartitionTable.ABSENT) {
+                present.add(entry.key().name());
+            }
+        }
+        List<Job> left = new ArrayList<>();
+        for (Job job : group) {
+            if (present.contains(job.mKey)) {
+                job.mResult.complete(SubmitResult.DONE);
+            } else {
+                left.add(job);
+            }
+        }
+        mWaiting.addAll(0, left);
+        pump();
+    }
+
+    private void again(List<Job> group, boolean unknown, TableError error) {
+        List<Job> left = new ArrayList<>();
+        long nowMillis = mClock.millis();
+        for (Job job : group) {
+            job.mOpen |= unknown;
+            boolean late = nowMillis - job.mSinceMillis > GIVE_UP_MILLIS;
+            if (job.mOpen && late) {
+                job.mResult.complete(SubmitResult.open("table: " + error.message()));
+            } else if (job.mOpen) {
+                left.add(job);
+            } else {
+                job.mResult.complete(
+                        SubmitResult.refused("table: " + error.message(), nextTryMillis()));
+            }
+        }
+        mWaiting.addAll(0, left);
+        mThread.later(this::pump, RETRY_MILLIS);
+    }
+
+    // Spread, so that refused callers do not come back together.
+    private static long nextTryMillis() {
+        return ThreadLocalRandom.current().nextLong(500, 1_500);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRow.java
@@ -0,0 +1,10 @@
+package org.hyssoprouter.daemon.workflow;
+
+/**
+ * A daemon of the cell.
+ *
+ * @param name name
+ * @param incarnation run of the daemon
+ * @param address {@code ip:port} of its listener for other daemons
+ */
+record MemberRow(String name, String incarnation, String address) {}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
@@ -0,0 +1,296 @@
+package org.hyssoprouter.daemon.workflow;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.internal.workflow.WorkflowRow;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * Makes the owner's decisions durable, one transaction at a time. Each checks and rewrites the
+ * owner's row, so that it is heartbeat, fence and number of the commit in one: a transaction whose
+ * answer was lost can be made again, and one that is carried out late fails its check.
+ */
+final class OwnerCommits {
+    /** Time after which an owner without changes commits all the same; rivals watch for it. */
+    static final long BEAT_MILLIS = 400;
+
+    /** Time between two publications of the load. */
+    static final long LOAD_MILLIS = 500;
+
+    /** Two rows each, and the owner's and the load's; the store takes 100 in a transaction. */
+    private static final int MAX_WORKFLOWS = 45;
+
+    private static final long RETRY_MILLIS = 100;
+    private static final EventLogger LOG = EventLogger.of(OwnerCommits.class);
+
+    private final PartitionTable mTable;
+    private final PoolScheduler mScheduler;
+    private final Tasks mThread;
+    private final MonotonicClock mClock;
+    private final Listener mListener;
+    private final Set<String> mChanged = new LinkedHashSet<>();
+    private final Map<String, WorkflowState> mShown = new HashMap<>();
+    private final Map<String, PoolScheduler.EndMark> mDurableEnds = new HashMap<>();
+    private List<TaskStart> mStarts = new ArrayList<>();
+    private OwnerRow mRow;
+    private long mVersion;
+    private boolean mBusy;
+    private boolean mClosed;
+    private long mConfirmedMillis;
+    private long mLoadMillis;
+    private Map<String, Integer> mLoad = Map.of();
+
+    /** Hears of what is durable. All calls come from the owner's thread. */
+    interface Listener {
+        /** The rows of these starts are durable. */
+        void release(List<TaskStart> starts);
+
+        /** The states are durable. */
+        void shown(Map<String, WorkflowState> states);
+
+        /** Ends of workers have become durable. */
+        void endsDurable();
+
+        /** Another daemon is owner. */
+        void lost(String reason);
+    }
+
+    /** Rows of one transaction and what waits for it. */
+    private record Group(
+            PartitionTable.Batch batch,
+            OwnerRow row,
+            List<TaskStart> starts,
+            Map<String, WorkflowState> states,
+            Map<String, PoolScheduler.EndMark> ends,
+            long sentMillis) {}
+
+    OwnerCommits(
+            PartitionTable table,
+            PoolScheduler scheduler,
+            Tasks thread,
+            MonotonicClock clock,
+            Listener listener) {
+        mTable = table;
+        mScheduler = scheduler;
+        mThread = thread;
+        mClock = clock;
+        mListener = listener;
+        mRow = new OwnerRow("", "", "", 0, 0, false);
+    }
+
+    /** Begins with the row by which this daemon became owner. */
+    void begin(OwnerRow row, long version) {
+        mRow = row;
+        mVersion = version;
+        mConfirmedMillis = mClock.millis();
+    }
+
+    void close() {
+        mClosed = true;
+    }
+
+    long epoch() {
+        return mRow.epoch();
+    }
+
+    /** Returns the age of the last transaction that succeeded, from its sending. */
+    long confirmationAgeMillis() {
+        return mClock.millis() - mConfirmedMillis;
+    }
+
+    /** Returns the highest end of a worker's present life that is durable here. */
+    long durableEnd(String workerId) {
+        PoolScheduler.EndMark durable = mDurableEnds.get(workerId);
+        PoolScheduler.EndMark seen = mScheduler.endsSeen(workerId);
+        boolean sameLife = durable != null && durable.bornMillis() == seen.bornMillis();
+        return sameLife ? durable.sequence() : 0;
+    }
+
+    void known(String id, WorkflowState state) {
+        mShown.put(id, state);
+    }
+
+    void add(List<String> changed, List<TaskStart> starts) {
+        mChanged.addAll(changed);
+        mStarts.addAll(starts);
+    }
+
+    /** Commits if anything waits and no transaction is open. */
+    void pump() {
+        boolean due = mClock.millis() - mConfirmedMillis >= BEAT_MILLIS;
+        if (mBusy || mClosed || (mChanged.isEmpty() && !due)) {
+            return;
+        }
+        send(nextGroup());
+    }
+
+    /** Gives the ownership up with the last transaction. */
+    void release() {
+        PartitionTable.Batch batch = new PartitionTable.Batch(Tables.POOLS);
+        OwnerRow row = mRow.release();
+        batch.check(Tables.STATES, Tables.OWNER, mVersion);
+        batch.put(Tables.STATES, Tables.OWNER, MessageCodec.encode(row));
+        mClosed = true;
+        mTable.commit(batch)
+                .thenAccept(
+                        done ->
+                                LOG.log(
+                                        LogEvent.POOLS_LOST,
+                                        row.epoch(),
+                                        "released " + done.isRight()));
+    }
+
+    boolean isBusy() {
+        return mBusy;
+    }
+
+    private Group nextGroup() {
+        List<String> ids = new ArrayList<>();
+        for (String id : mChanged) {
+            if (ids.size() < MAX_WORKFLOWS) {
+                ids.add(id);
+            }
+        }
+        mChanged.removeAll(ids);
+        Set<String> included = Set.copyOf(ids);
+        List<TaskStart> starts = new ArrayList<>();
+        List<TaskStart> later = new ArrayList<>();
+        for (TaskStart start : mStarts) {
+            (included.contains(start.task().step().workflow()) ? starts : later).add(start);
+        }
+        mStarts = later;
+        PartitionTable.Batch batch = new PartitionTable.Batch(Tables.POOLS);
+        OwnerRow row = mRow.next();
+        batch.check(Tables.STATES, Tables.OWNER, mVersion);
+        batch.put(Tables.STATES, Tables.OWNER, MessageCodec.encode(row));
+        Map<String, WorkflowState> states = new HashMap<>();
+        ids.forEach(id -> mScheduler.row(id).forEach(it -> put(batch, id, it, states)));
+        putLoad(batch);
+        Map<String, PoolScheduler.EndMark> ends = mChanged.isEmpty() ? mScheduler.endsSeen() : Map.of();
+        return new Group(batch, row, starts, states, ends, mClock.millis());
+    }
+
+    private void put(
+            PartitionTable.Batch batch,
+            String id,
+            WorkflowRow row,
+            Map<String, WorkflowState> states) {
+        batch.put(Tables.RUNS, id, MessageCodec.encode(row));
+        if (mShown.put(id, row.state()) != row.state()) {
+            batch.put(Tables.STATES, id, Tables.encode(row.state()));
+            states.put(id, row.state());
+        }
+    }
+
+    private void putLoad(PartitionTable.Batch batch) {
+        long nowMillis = mClock.millis();
+        if (nowMillis - mLoadMillis < LOAD_MILLIS) {
+            return;
+        }
+        mLoadMillis = nowMillis;
+        Map<String, Integer> load = mScheduler.pending();
+        if (!load.equals(mLoad)) {
+            mLoad = load;
+            batch.put(Tables.STATES, Tables.LOAD, MessageCodec.encode(new LoadRow(load)));
+        }
+    }
+
+    private void send(Group group) {
+        mBusy = true;
+        mTable.commit(group.batch())
+                .thenAccept(result -> mThread.execute(() -> answered(group, result)));
+    }
+
+    private void answered(
+            Group group, Either<PartitionTable.Failure, PartitionTable.Committed> result) {
+        if (mClosed) {
+            return;
+        }
+        if (result.isRight()) {
+            committed(group, result.get().version());
+            return;
+        }
+        PartitionTable.Failure failure = result.getLeft();
+        if (failure.error().kind() != TableError.Kind.CONFLICT) {
+            LOG.log(
+                    LogEvent.COMMIT_RETRIED,
+                    group.row().epoch(),
+                    group.row().sequence(),
+                    failure.error().message());
+            mThread.later(() -> sendAgain(group), RETRY_MILLIS);
+            return;
+        }
+        Option<PartitionTable.Entry> current = ownerEntry(failure.current());
+        boolean done = current.flatMap(this::decode).exists(group.row()::equals);
+        if (done) {
+            committed(group, current.get().version());
+        } else {
+            mListener.lost("owner row is " + current.flatMap(this::decode));
+        }
+    }
+
+    private void sendAgain(Group group) {
+        if (!mClosed) {
+            send(
+                    new Group(
+                            group.batch(),
+                            group.row(),
+                            group.starts(),
+                            group.states(),
+                            group.ends(),
+                            mClock.millis()));
+        }
+    }
+
+    private void committed(Group group, long version) {
+        mBusy = false;
+        mRow = group.row();
+        mVersion = version;
+        mConfirmedMillis = group.sentMillis();
+        mDurableEnds.putAll(group.ends());
+        mListener.release(group.starts());
+        mListener.shown(group.states());
+        if (!group.ends().isEmpty()) {
+            mListener.endsDurable();
+        }
+        pump();
+    }
+
+    private static Option<PartitionTable.Entry> ownerEntry(List<PartitionTable.Entry> entries) {
+        for (PartitionTable.Entry entry : entries) {
+            if (entry.key().name().equals(Tables.OWNER)) {
+                return Option.some(entry);
+            }
+        }
+        return Option.none();
+    }
+
+    private Option<OwnerRow> decode(PartitionTable.Entry entry) {
+        byte[] value = entry.value();
+        if (value == null) {
+            return Option.none();
+        }
+        try {
+            return Option.some(MessageCodec.decode(value, OwnerRow.class));
+        } catch (IOException e) {
+            LOG.log(LogEvent.ROW_UNREADABLE, Tables.OWNER, e.getMessage());
+            return Option.none();
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -0,0 +1,404 @@
+package org.hyssoprouter.daemon.workflow;
+
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.ownership.TaskThread;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.workflow.Effects;
+import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.internal.workflow.WorkflowRow;
+import org.hyssoprouter.lib.workflow.PoolConfig;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.transport.TaskRunner;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.MonotonicClock;
+import org.hyssoprouter.util.Service;
+
+/** One ownership of all pools: reads their state, then decides, on one thread, until it is lost. */
+final class PoolOwner implements Service {
+    private static final EventLogger LOG = EventLogger.of(PoolOwner.class);
+    private static final long TICK_MILLIS = 50;
+    private static final long JOBS_WAIT_MILLIS = 1_000;
+    private static final long JOBS_PAUSE_MILLIS = 10;
+    private static final long WORKERS_PAUSE_MILLIS = 200;
+    private static final long STOP_MILLIS = 500;
+
+    private final Ports mPorts;
+    private final WorkflowSettings mSettings;
+    private final Ownership mOwnership;
+    private final Tasks mThread = new TaskThread("pool-owner");
+    private final PoolScheduler mScheduler;
+    private final OwnerCommits mCommits;
+    private final WorkerPolls mPolls;
+    private final RunOrders mOrders;
+    private final ApprovalDispatcher mApprovals;
+    private final TableFollower mRows;
+    private final TableFollower mJobs;
+    private final TableFollower mWorkers;
+    private final Map<String, WorkflowRow> mRestored = new HashMap<>();
+    private final Set<String> mSeenCancels = new HashSet<>();
+    private final MonotonicClock mClock;
+    private boolean mOpen;
+    private boolean mRowsRead;
+    private boolean mWorkersRead;
+    private boolean mPumping;
+    private boolean mClosed;
+
+    /** What an owner needs of the daemon. */
+    record Ports(
+            PartitionTable table,
+            TaskRunner runner,
+            WorkerSource workers,
+            Members members,
+            ApprovalDispatcher.ApprovalCalls approvals,
+            MonotonicClock clock) {}
+
+    /** Hears of the ownership. */
+    interface Ownership {
+        /** States have become durable. */
+        void shown(Map<String, WorkflowState> states);
+
+        /** The ownership is lost. */
+        void lost(PoolOwner owner, String reason);
+    }
+
+    PoolOwner(Ports ports, WorkflowSettings settings, Ownership ownership) {
+        mPorts = ports;
+        mSettings = settings;
+        mOwnership = ownership;
+        mClock = ports.clock();
+        mScheduler = new PoolScheduler(settings.limits(), mClock.millis());
+        Events events = new Events();
+        mCommits = new OwnerCommits(ports.table(), mScheduler, mThread, mClock, events);
+        mPolls =
+                new WorkerPolls(
+                        mScheduler,
+                        mCommits,
+                        ports.runner(),
+                        mThread,
+                        mClock,
+                        settings.limits(),
+                        events);
+        mOrders = new RunOrders(mScheduler, ports.runner(), mThread, mClock, events);
+        mApprovals =
+                new ApprovalDispatcher(
+                        ports.members(),
+                        ports.approvals(),
+                        mScheduler,
+                        mThread,
+                        mClock,
+                        this::pumpSoon);
+        mRows =
+                new TableFollower(
+                        ports.table(),
+                        new TableFollower.Subject(
+                                Tables.RUNS, List.of(Tables.POOLS), JOBS_WAIT_MILLIS, 0),
+                        new RunRows());
+        mJobs =
+                new TableFollower(
+                        ports.table(),
+                        new TableFollower.Subject(
+                                Tables.JOBS,
+                                Tables.jobPartitions(),
+                                JOBS_WAIT_MILLIS,
+                                JOBS_PAUSE_MILLIS),
+                        new JobRows());
+        mWorkers =
+                new TableFollower(
+                        ports.table(),
+                        new TableFollower.Subject(
+                                ports.workers().table(),
+                                List.of(""),
+                                JOBS_WAIT_MILLIS,
+                                WORKERS_PAUSE_MILLIS),
+                        new WorkerRows());
+    }
+
+    /** Begins with the row by which this daemon became owner. */
+    void begin(OwnerRow row, long version, PoolConfig config) {
+        mThread.execute(
+                () -> {
+                    mCommits.begin(row, version);
+                    mScheduler.configure(config);
+                });
+        start();
+    }
+
+    @Override
+    public void start() {
+        mRows.start();
+        mWorkers.start();
+        mThread.repeat(this::tick, TICK_MILLIS);
+    }
+
+    @Override
+    public void stop() {
+        mThread.execute(this::close);
+        mThread.stop(STOP_MILLIS);
+    }
+
+    /** Gives the ownership up and stops. */
+    void release() {
+        mThread.execute(
+                () -> {
+                    if (!mClosed) {
+                        mCommits.release();
+                        close();
+                    }
+                });
+        mThread.stop(STOP_MILLIS);
+    }
+
+    /** Returns the epoch of this ownership. */
+    long epoch() {
+        return mCommits.epoch();
+    }
+
+    void configure(PoolConfig config) {
+        mThread.execute(
+                () -> {
+                    mScheduler.configure(config);
+                    pumpSoon();
+                });
+    }
+
+    private void close() {
+        mClosed = true;
+        mCommits.close();
+        mPolls.close();
+        mOrders.close();
+        mApprovals.close();
+        mRows.stop();
+        mJobs.stop();
+        mWorkers.stop();
+    }
+
+    private void lost(String reason) {
+        if (mClosed) {
+            return;
+        }
+        LOG.log(LogEvent.POOLS_LOST, mCommits.epoch(), reason);
+        close();
+        mOwnership.lost(this, reason);
+        mThread.stopNow();
+    }
+
+    private void tick() {
+        if (mClosed) {
+            return;
+        }
+        if (mOpen) {
+            mScheduler.tick(mClock.millis(), System.currentTimeMillis());
+        }
+        pump();
+    }
+
+    private void pumpSoon() {
+        if (!mPumping) {
+            mPumping = true;
+            mThread.execute(
+                    () -> {
+                        mPumping = false;
+                        pump();
+                    });
+        }
+    }
+
+    private void pump() {
+        if (mClosed) {
+            return;
+        }
+        if (mOpen) {
+            mScheduler.place(mClock.millis());
+        }
+        Effects effects = mScheduler.effects();
+        mCommits.add(effects.takeChanged(), effects.takeStarts());
+        effects.takeStops().forEach(stop -> mOrders.stop(stop, mCommits.epoch()));
+        mApprovals.add(effects.takeApprovals());
+        effects.takeDecisions()
+                .forEach(d -> LOG.log(LogEvent.DECISION, d.subject(), d.what(), d.inputs()));
+        mApprovals.pump();
+        mCommits.pump();
+        mPolls.pump();
+    }
+
+    private void openIfRead() {
+        if (mOpen || !mRowsRead || !mWorkersRead) {
+            return;
+        }
+        mOpen = true;
+        long millis = mClock.millis() - mScheduler.startedMillis();
+        LOG.log(LogEvent.POOLS_OPENED, mCommits.epoch(), mRestored.size(), millis);
+        mJobs.start();
+    }
+
+    /** Reads the former owner's rows once. */
+    private final class RunRows implements TableFollower.Listener {
+        private final Map<String, WorkflowRow> mRead = new HashMap<>();
+
+        @Override
+        public void reset() {
+            mRead.clear();
+        }
+
+        @Override
+        public void row(PartitionTable.Entry entry) {
+            byte[] value = entry.value();
+            if (value == null) {
+                return;
+            }
+            try {
+                mRead.put(entry.key().name(), MessageCodec.decode(value, WorkflowRow.class));
+            } catch (IOException e) {
+                LOG.log(LogEvent.ROW_UNREADABLE, entry.key().name(), e.getMessage());
+            }
+        }
+
+        @Override
+        public void synced(long version, long storeMillis) {
+            Map<String, WorkflowRow> read = Map.copyOf(mRead);
+            mRows.stop();
+            mThread.execute(
+                    () -> {
+                        mRestored.putAll(read);
+                        mRowsRead = true;
+                        openIfRead();
+                    });
+        }
+    }
+
+    /** Takes in accepted workflows and cancellations. */
+    private final class JobRows implements TableFollower.Listener {
+        @Override
+        public void row(PartitionTable.Entry entry) {
+            byte[] value = entry.value();
+            String key = entry.key().name();
+            if (value == null) {
+                return;
+            }
+            if (Tables.isCancel(key)) {
+                mThread.execute(() -> cancelled(Tables.idOfCancel(key)));
+                return;
+            }
+            try {
+                WorkflowSpec spec = MessageCodec.decode(value, WorkflowSpec.class);
+                mThread.execute(() -> accepted(spec));
+            } catch (IOException e) {
+                LOG.log(LogEvent.ROW_UNREADABLE, key, e.getMessage());
+            }
+        }
+    }
+
+    private void accepted(WorkflowSpec spec) {
+        WorkflowRow row = mRestored.remove(spec.id());
+        if (row == null) {
+            mScheduler.submitted(spec, mClock.millis());
+        } else {
+            mCommits.known(spec.id(), row.state());
+            mScheduler.restored(spec, row, mClock.millis());
+        }
+        if (mSeenCancels.contains(spec.id())) {
+            mScheduler.cancelled(spec.id(), mClock.millis());
+        }
+        pumpSoon();
+    }
+
+    private void cancelled(String id) {
+        mSeenCancels.add(id);
+        mScheduler.cancelled(id, mClock.millis());
+        pumpSoon();
+    }
+
+    /** Takes in the list of workers. */
+    private final class WorkerRows implements TableFollower.Listener {
+        private final Set<String> mListed = new HashSet<>();
+
+        @Override
+        public void reset() {
+            mListed.clear();
+        }
+
+        @Override
+        public void row(PartitionTable.Entry entry) {
+            String id = entry.key().name();
+            if (entry.value() == null) {
+                mListed.remove(id);
+                mThread.execute(() -> mScheduler.unlisted(id));
+                return;
+            }
+            mPorts.workers()
+                    .decode(entry)
+                    .forEach(
+                            worker -> {
+                                mListed.add(id);
+                                mThread.execute(() -> listed(worker));
+                            });
+        }
+
+        @Override
+        public void synced(long version, long storeMillis) {
+            Set<String> listed = Set.copyOf(mListed);
+            mThread.execute(
+                    () -> {
+                        mWorkersRead = true;
+                        mScheduler.retainListed(listed);
+                        openIfRead();
+                    });
+        }
+
+        @Override
+        public void failed(TableError error) {
+            // What was listed stays in use until the store answers again.
+        }
+    }
+
+    private void listed(WorkerEntry worker) {
+        mScheduler.listed(worker, mClock.millis());
+        pumpSoon();
+    }
+
+    /** Connects the parts. */
+    private final class Events
+            implements OwnerCommits.Listener, WorkerPolls.Listener, RunOrders.Listener {
+        @Override
+        public void release(List<TaskStart> starts) {
+            starts.forEach(start -> mOrders.start(start, mCommits.epoch()));
+        }
+
+        @Override
+        public void shown(Map<String, WorkflowState> states) {
+            mOwnership.shown(states);
+        }
+
+        @Override
+        public void endsDurable() {
+            mPolls.endsDurable();
+        }
+
+        @Override
+        public void reported() {
+            pumpSoon();
+        }
+
+        @Override
+        public void answered() {
+            pumpSoon();
+        }
+
+        @Override
+        public void lost(String reason) {
+            PoolOwner.this.lost(reason);
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunOrders.java
@@ -0,0 +1,96 @@
+package org.hyssoprouter.daemon.workflow;
+
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.lib.workflow.StartOutcome;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.TaskStop;
+import org.hyssoprouter.transport.TaskRunner;
+import org.hyssoprouter.util.MonotonicClock;
+
+/**
+ * Sends starts and stops. A start without an answer is sent again to the same worker, which does
+ * nothing for a repeat; only after some tries is its outcome unknown.
+ */
+final class RunOrders {
+    private static final EventLogger LOG = EventLogger.of(RunOrders.class);
+    private static final int TRIES = 3;
+
+    private final PoolScheduler mScheduler;
+    private final TaskRunner mRunner;
+    private final Tasks mThread;
+    private final MonotonicClock mClock;
+    private final Listener mListener;
+    private volatile boolean mClosed;
+
+    /** Hears of answers. */
+    interface Listener {
+        /** An answer was taken in. */
+        void answered();
+
+        /** A worker knows an owner with a higher token. */
+        void lost(String reason);
+    }
+
+    RunOrders(
+            PoolScheduler scheduler,
+            TaskRunner runner,
+            Tasks thread,
+            MonotonicClock clock,
+            Listener listener) {
+        mScheduler = scheduler;
+        mRunner = runner;
+        mThread = thread;
+        mClock = clock;
+        mListener = listener;
+    }
+
+    void close() {
+        mClosed = true;
+    }
+
+    void start(TaskStart order, long epoch) {
+        LOG.log(LogEvent.RUN_SENT, order.task(), order.run(), order.workerId(), epoch);
+        start(order, epoch, 1);
+    }
+
+    private void start(TaskStart order, long epoch, int attempt) {
+        long deadlineMillis = mScheduler.leaseDeadline(order.workerId(), mClock.millis());
+        mRunner.start(order, deadlineMillis, epoch)
+                .thenAccept(
+                        outcome ->
+                                mThread.execute(() -> answered(order, epoch, attempt, outcome)));
+    }
+
+    private void answered(TaskStart order, long epoch, int attempt, StartOutcome outcome) {
+        if (mClosed) {
+            return;
+        }
+        if (outcome == StartOutcome.UNKNOWN && attempt < TRIES) {
+            start(order, epoch, attempt + 1);
+            return;
+        }
+        // After a lost answer, anything but an acceptance leaves open what the first try did.
+        boolean certain = attempt == 1 || outcome == StartOutcome.ACCEPTED;
+        boolean fenced = outcome == StartOutcome.FENCED;
+        StartOutcome known = certain || fenced ? outcome : StartOutcome.UNKNOWN;
+        if (!mScheduler.started(order, known, mClock.millis())) {
+            mListener.lost("worker " + order.workerId() + " refused a start by its token");
+            return;
+        }
+        mListener.answered();
+    }
+
+    void stop(TaskStop order, long epoch) {
+        mRunner.stop(order, epoch)
+                .thenAccept(
+                        done ->
+                                mThread.execute(
+                                        () -> {
+                                            mScheduler.stopped(order, done, mClock.millis());
+                                            mListener.answered();
+                                        }));
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/SubmitResult.java
@@ -0,0 +1,23 @@
+package org.hyssoprouter.daemon.workflow;
+
+import org.hyssoprouter.lib.Verdict;
+
+/**
+ * What became of a submission or cancellation.
+ *
+ * @param verdict RAN if it is durable, NOT_RUN if it never will be, MAY_HAVE_RUN if that is open
+ * @param reason why, for the log
+ * @param retryAfterMillis time after which to come back, in milliseconds
+ * @since 0.2
+ */
+public record SubmitResult(Verdict verdict, String reason, long retryAfterMillis) {
+    static final SubmitResult DONE = new SubmitResult(Verdict.RAN, "", 0);
+
+    static SubmitResult refused(String reason, long retryAfterMillis) {
+        return new SubmitResult(Verdict.NOT_RUN, reason, retryAfterMillis);
+    }
+
+    static SubmitResult open(String reason) {
+        return new SubmitResult(Verdict.MAY_HAVE_RUN, reason, 0);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Tables.java
@@ -0,0 +1,69 @@
+package org.hyssoprouter.daemon.workflow;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+
+/** Names of the tables and rows of workflows. */
+final class Tables {
+    /** Accepted workflows and cancellations; a partition by hash of the identifier. */
+    static final String JOBS = "hyssop-jobs";
+
+    /** State of each workflow, the owner's row and its load; one partition. */
+    static final String STATES = "hyssop-states";
+
+    /** What the owner needs to go on; in the partition of the states. */
+    static final String RUNS = "hyssop-runs";
+
+    /** Addresses of the daemons. */
+    static final String MEMBERS = "hyssop-members";
+
+    /** Partition of states and runs, so that one transaction covers both. */
+    static final String POOLS = "pools";
+
+    /** Key of the owner's row; sorts before all identifiers. */
+    static final String OWNER = "!owner";
+
+    /** Key of the row with the owner's load. */
+    static final String LOAD = "!load";
+
+    /** Partitions of the jobs: one takes 200 transactions a second, entries make some tens. */
+    private static final int JOB_PARTITIONS = 8;
+
+    private static final String CANCEL_SUFFIX = "!cancel";
+
+    private Tables() {}
+
+    static String jobPartition(String id) {
+        return "j" + Math.floorMod(id.hashCode(), JOB_PARTITIONS);
+    }
+
+    static List<String> jobPartitions() {
+        List<String> partitions = new ArrayList<>();
+        for (int i = 0; i < JOB_PARTITIONS; i++) {
+            partitions.add("j" + i);
+        }
+        return partitions;
+    }
+
+    static String cancelKey(String id) {
+        return id + CANCEL_SUFFIX;
+    }
+
+    static boolean isCancel(String key) {
+        return key.endsWith(CANCEL_SUFFIX);
+    }
+
+    static String idOfCancel(String key) {
+        return key.substring(0, key.length() - CANCEL_SUFFIX.length());
+    }
+
+    static byte[] encode(WorkflowState state) {
+        return state.name().getBytes(StandardCharsets.US_ASCII);
+    }
+
+    static WorkflowState decode(byte[] value) {
+        return WorkflowState.valueOf(new String(value, StandardCharsets.US_ASCII));
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -0,0 +1,288 @@
+package org.hyssoprouter.daemon.workflow;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.ownership.TaskThread;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.lib.TrafficClass;
+import org.hyssoprouter.lib.workflow.ApprovalRequest;
+import org.hyssoprouter.lib.workflow.Approvals;
+import org.hyssoprouter.lib.workflow.PoolConfig;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.hyssoprouter.transport.ApprovalService;
+import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.transport.PeerCallType;
+import org.hyssoprouter.transport.PeerTransport;
+import org.hyssoprouter.transport.TaskRunner;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.MonotonicClock;
+import org.hyssoprouter.util.Service;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * A daemon's part in workflows: it serves callers, follows the owner, and is owner of all pools
+ * while it holds the owner's row.
+ *
+ * @since 0.2
+ */
+public final class WorkflowDaemon implements Service, PeerTransport.Handler {
+    private static final EventLogger LOG = EventLogger.of(WorkflowDaemon.class);
+    private static final long CAMPAIGN_AGAIN_MILLIS = 400;
+    private static final long THREAD_STOP_MILLIS = 500;
+    // Spreads the first campaigns of daemons that start together.
+    private static final long STAGGER_STEP_MILLIS = 60;
+    private static final int STAGGER_STEPS = 8;
+
+    /** Time without an answer of the store after which callers should go elsewhere. */
+    private static final long SERVING_MILLIS = 2_500;
+
+    private final Ports mPorts;
+    private final WorkflowSettings mSettings;
+    private final Tasks mThread = new TaskThread("workflows");
+    private final Members mMembers;
+    private final WorkflowStates mStates;
+    private final WorkflowEntry mEntry;
+    private final Election mElection;
+    private @Nullable PoolOwner mOwner;
+    private boolean mCampaigning;
+    private boolean mStopped;
+    private long mNextCampaignMillis;
+    private String mSeenOwner = "";
+    private PoolConfig mConfig = PoolConfig.NONE;
+
+    /**
+     * Adapters that the daemon works with.
+     *
+     * @param table table store
+     * @param runner workers
+     * @param workers list of workers
+     * @param approvals approval service
+     * @param peers other daemons
+     * @param clock steady clock
+     */
+    public record Ports(
+            PartitionTable table,
+            TaskRunner runner,
+            WorkerSource workers,
+            ApprovalService approvals,
+            PeerTransport peers,
+            MonotonicClock clock) {}
+
+    /** Creates a daemon that does nothing before {@link #start()}. */
+    public WorkflowDaemon(Ports ports, WorkflowSettings settings) {
+        mPorts = ports;
+        mSettings = settings;
+        mMembers = new Members(ports.table(), settings, mThread::later);
+        mElection = new Election(settings, staggerMillis(settings.name()));
+        mStates = new WorkflowStates(ports.table(), new OwnerRows(), ports.clock());
+        mEntry = new WorkflowEntry(ports.table(), mStates, mThread, ports.clock());
+    }
+
+    private static long staggerMillis(String name) {
+        return Math.floorMod(name.hashCode(), STAGGER_STEPS) * STAGGER_STEP_MILLIS;
+    }
+
+    /** Returns the callers' calls. */
+    public WorkflowService service() {
+        return mEntry;
+    }
+
+    /** Returns whether this daemon can serve callers: the store has answered it lately. */
+    public boolean isServing() {
+        long answeredMillis = mStates.answeredMillis();
+        return answeredMillis >= 0
+                && mPorts.clock().millis() - answeredMillis < SERVING_MILLIS;
+    }
+
+    @Override
+    public void start() {
+        mMembers.start();
+        mStates.start();
+    }
+
+    @Override
+    public void stop() {
+        mThread.execute(
+                () -> {
+                    mStopped = true;
+                    PoolOwner owner = mOwner;
+                    mOwner = null;
+                    if (owner != null) {
+                        owner.release();
+                    }
+                });
+        mThread.stop(THREAD_STOP_MILLIS);
+        mStates.stop();
+        mMembers.stop();
+    }
+
+    /** Gives an ownership up and takes none any more; callers are served on. */
+    public void retire() {
+        mThread.execute(
+                () -> {
+                    mStopped = true;
+                    PoolOwner owner = mOwner;
+                    mOwner = null;
+                    if (owner != null) {
+                        owner.release();
+                    }
+                });
+    }
+
+    /** Takes in a configuration in force. */
+    public void configure(PoolConfig config) {
+        mThread.execute(
+                () -> {
+                    mConfig = config;
+                    PoolOwner owner = mOwner;
+                    if (owner != null) {
+                        owner.configure(config);
+                    }
+                });
+    }
+
+    @Override
+    public CompletableFuture<byte[]> handle(int type, TrafficClass trafficClass, byte[] payload) {
+        if (type != PeerCallType.APPROVAL.number()) {
+            return CompletableFuture.failedFuture(
+                    new IllegalArgumentException("call type " + type + " is not served here"));
+        }
+        try {
+            ApprovalCall call = MessageCodec.decode(payload, ApprovalCall.class);
+            return mPorts.approvals()
+                    .ask(call.request(), call.timeoutMillis())
+                    .thenApply(ApprovalReply::of)
+                    .thenApply(MessageCodec::encode);
+        } catch (IOException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    private CompletableFuture<Either<CallError, Approvals>> ask(
+            MemberRow via, ApprovalRequest request, long timeoutMillis) {
+        if (via.name().equals(mSettings.name())) {
+            return mPorts.approvals().ask(request, timeoutMillis);
+        }
+        byte[] payload = MessageCodec.encode(new ApprovalCall(request, timeoutMillis));
+        return mPorts.peers()
+                .call(
+                        via.address(),
+                        PeerCallType.APPROVAL.number(),
+                        TrafficClass.URGENT,
+                        payload,
+                        timeoutMillis)
+                .thenApply(reply -> reply.flatMap(ApprovalReply::decode));
+    }
+
+    private void campaign(long storeMillis) {
+        boolean wait = mPorts.clock().millis() < mNextCampaignMillis;
+        boolean unfit = mStopped || mOwner != null || mCampaigning || mConfig.version() == 0;
+        if (unfit || wait || !mElection.shouldCampaign(storeMillis)) {
+            return;
+        }
+        mCampaigning = true;
+        mNextCampaignMillis = mPorts.clock().millis() + CAMPAIGN_AGAIN_MILLIS;
+        Option<OwnerRow> former = mElection.row();
+        long version = mElection.version();
+        long epoch = former.map(OwnerRow::epoch).getOrElse(0L) + 1;
+        OwnerRow row =
+                new OwnerRow(
+                        mSettings.name(),
+                        mSettings.incarnation(),
+                        mSettings.peerAddress(),
+                        epoch,
+                        0,
+                        false);
+        PartitionTable.Batch batch = new PartitionTable.Batch(Tables.POOLS);
+        batch.check(Tables.STATES, Tables.OWNER, former.isEmpty() ? 0 : version);
+        batch.put(Tables.STATES, Tables.OWNER, MessageCodec.encode(row));
+        mPorts.table()
+                .commit(batch)
+                .thenAccept(result -> mThread.execute(() -> elected(row, former, result)));
+    }
+
+    private void elected(
+            OwnerRow row,
+            Option<OwnerRow> former,
+            Either<PartitionTable.Failure, PartitionTable.Committed> result) {
+        mCampaigning = false;
+        if (result.isRight()) {
+            own(row, result.get().version(), former.map(OwnerRow::owner).getOrElse("none"));
+        }
+    }
+
+    private void own(OwnerRow row, long version, String former) {
+        if (mStopped || mOwner != null) {
+            return;
+        }
+        LOG.log(LogEvent.POOLS_OWNED, row.epoch(), former, "row version " + version);
+        PoolOwner.Ports ports =
+                new PoolOwner.Ports(
+                        mPorts.table(),
+                        mPorts.runner(),
+                        mPorts.workers(),
+                        mMembers,
+                        this::ask,
+                        mPorts.clock());
+        PoolOwner owner = new PoolOwner(ports, mSettings, new Ownership());
+        mOwner = owner;
+        owner.begin(row, version, mConfig);
+    }
+
+    /** Watches the owner's row on the follower's thread, and decides on the daemon's. */
+    private final class OwnerRows implements WorkflowStates.OwnerListener {
+        @Override
+        public void ownerRow(Option<OwnerRow> row, long version) {
+            mElection.ownerRow(row, version);
+            mThread.execute(() -> row.forEach(it -> seen(it, version)));
+        }
+
+        @Override
+        public void synced(long storeMillis) {
+            mThread.execute(() -> campaign(storeMillis));
+        }
+
+        @Override
+        public void failed() {
+            mElection.failed();
+        }
+    }
+
+    private void seen(OwnerRow row, long version) {
+        String owner = row.owner() + "/" + row.epoch();
+        if (!owner.equals(mSeenOwner)) {
+            mSeenOwner = owner;
+            LOG.log(LogEvent.OWNER_SEEN, row.owner(), row.epoch());
+        }
+        // A campaign whose answer was lost may have been won.
+        boolean mine = row.incarnation().equals(mSettings.incarnation()) && row.sequence() == 0;
+        if (mine && mOwner == null && !mCampaigning && !row.released()) {
+            own(row, version, "unknown");
+        }
+    }
+
+    /** Hears of this daemon's ownership. */
+    private final class Ownership implements PoolOwner.Ownership {
+        @Override
+        public void shown(Map<String, WorkflowState> states) {
+            states.forEach(mStates::note);
+        }
+
+        @Override
+        public void lost(PoolOwner owner, String reason) {
+            mThread.execute(
+                    () -> {
+                        if (owner.equals(mOwner)) {
+                            mOwner = null;
+                        }
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
@@ -0,0 +1,138 @@
+package org.hyssoprouter.daemon.workflow;
+
+import io.vavr.control.Either;
+import io.vavr.control.Option;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.util.MessageCodec;
+import org.hyssoprouter.util.MonotonicClock;
+
+/** Stores callers' workflows and cancellations, without the owner, and tells their states. */
+final class WorkflowEntry implements WorkflowService {
+    private static final EventLogger LOG = EventLogger.of(WorkflowEntry.class);
+    private static final byte[] CANCELLED = {1};
+
+    private final PartitionTable mTable;
+    private final WorkflowStates mStates;
+    private final MonotonicClock mClock;
+    private final Map<String, JobWriter> mWriters = new HashMap<>();
+
+    WorkflowEntry(
+            PartitionTable table, WorkflowStates states, Tasks thread, MonotonicClock clock) {
+        mTable = table;
+        mStates = states;
+        mClock = clock;
+        for (String partition : Tables.jobPartitions()) {
+            mWriters.put(partition, new JobWriter(table, partition, thread, clock));
+        }
+    }
+
+    @Override
+    public CompletableFuture<SubmitResult> submit(WorkflowSpec spec, long configVersion) {
+        long startMillis = mClock.millis();
+        if (mStates.stateOf(spec.id()).isDefined()) {
+            return CompletableFuture.completedFuture(SubmitResult.DONE);
+        }
+        return write(spec.id(), spec.id(), MessageCodec.encode(spec))
+                .thenApply(
+                        result -> {
+                            if (result.verdict() == Verdict.RAN) {
+                                mStates.note(spec.id(), WorkflowState.PENDING);
+                                LOG.log(
+                                        LogEvent.WORKFLOW_ACCEPTED,
+                                        spec.id(),
+                                        spec.queue(),
+                                        mClock.millis() - startMillis,
+                                        configVersion);
+                            } else {
+                                LOG.log(
+                                        LogEvent.WORKFLOW_NOT_ACCEPTED,
+                                        spec.id(),
+                                        spec.queue(),
+                                        result.verdict(),
+                                        result.reason());
+                            }
+                            return result;
+                        });
+    }
+
+    private CompletableFuture<SubmitResult> write(String id, String key, byte[] value) {
+        JobWriter writer = mWriters.get(Tables.jobPartition(id));
+        if (writer == null) {
+            throw new IllegalStateException("partition of " + id + " has no writer");
+        }
+        return writer.write(key, value);
+    }
+
+    @Override
+    public CompletableFuture<StateAnswer> state(String id) {
+        Option<WorkflowState> known = mStates.stateOf(id);
+        if (known.isDefined()) {
+            return CompletableFuture.completedFuture(StateAnswer.of(known.get()));
+        }
+        return stored(id);
+    }
+
+    private CompletableFuture<StateAnswer> stored(String id) {
+        PartitionTable.Range range =
+                new PartitionTable.Range(Tables.JOBS, Tables.jobPartition(id), id, id + '\0', 1);
+        return mTable.read(range).thenApply(read -> answerOf(id, read));
+    }
+
+    private StateAnswer answerOf(String id, Either<TableError, PartitionTable.Page> read) {
+        if (read.isLeft()) {
+            LOG.log(LogEvent.WORKFLOW_UNKNOWN, id, "unknown", read.getLeft().message());
+            return StateAnswer.unknown();
+        }
+        if (read.get().entries().isEmpty()) {
+            LOG.log(LogEvent.WORKFLOW_UNKNOWN, id, "absent", "version " + read.get().version());
+            return StateAnswer.absent();
+        }
+        mStates.note(id, WorkflowState.PENDING);
+        return StateAnswer.of(mStates.stateOf(id).getOrElse(WorkflowState.PENDING));
+    }
+
+    @Override
+    public CompletableFuture<CancelResult> cancel(String id) {
+        return state(id).thenCompose(answer -> cancel(id, answer));
+    }
+
+    private CompletableFuture<CancelResult> cancel(String id, StateAnswer answer) {
+        if (!answer.known()) {
+            return CompletableFuture.completedFuture(CancelResult.UNKNOWN);
+        }
+        if (answer.state().isEmpty()) {
+            return CompletableFuture.completedFuture(CancelResult.ABSENT);
+        }
+        WorkflowState state = answer.state().get();
+        if (state.isFinal()) {
+            return CompletableFuture.completedFuture(
+                    state == WorkflowState.CANCELLED ? CancelResult.DONE : CancelResult.ABSENT);
+        }
+        return write(id, Tables.cancelKey(id), CANCELLED)
+                .thenApply(
+                        result -> {
+                            LOG.log(
+                                    LogEvent.WORKFLOW_CANCEL_STORED,
+                                    id,
+                                    state + " " + result.verdict() + " " + result.reason());
+                            return result.verdict() == Verdict.RAN
+                                    ? CancelResult.DONE
+                                    : CancelResult.UNKNOWN;
+                        });
+    }
+
+    @Override
+    public int pending(String queue) {
+        return mStates.pending(queue);
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -0,0 +1,297 @@
+package org.hyssoprouter.internal.workflow;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.ApprovalRequest;
+import org.hyssoprouter.lib.workflow.Approvals;
+import org.hyssoprouter.lib.workflow.PoolConfig;
+import org.hyssoprouter.lib.workflow.RunReport;
+import org.hyssoprouter.lib.workflow.StartOutcome;
+import org.hyssoprouter.lib.workflow.StepKey;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.TaskStop;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+
+/**
+ * Decides, for all pools of one owner, which tasks of workflows run where. It knows no input or
+ * output and no clock; it is used by one thread. What it asks for is taken from {@link #effects()}
+ * after each call.
+ *
+ * @since 0.2
+ */
+public final class PoolScheduler {
+    private static final long NO_REPORT_MILLIS = -1;
+
+    /** Time after which a failed request for approval is made again. */
+    private static final long ASK_AGAIN_MILLIS = 100;
+
+    private final PoolState mState;
+    private final RunTracker mRuns;
+    private final Upkeep mUpkeep;
+    private final long mStartedMillis;
+
+    /**
+     * Creates a scheduler without work.
+     *
+     * @param limits bounds of the platform
+     * @param nowMillis when the ownership began
+     */
+    public PoolScheduler(SchedulerLimits limits, long nowMillis) {
+        mState = new PoolState(limits);
+        WorkerTrust trust = new WorkerTrust(mState);
+        mRuns = new RunTracker(mState, trust);
+        mUpkeep = new Upkeep(mState, mRuns, trust, nowMillis);
+        mStartedMillis = nowMillis;
+    }
+
+    /** Returns what the calls so far ask for. */
+    public Effects effects() {
+        return mState.mEffects;
+    }
+
+    /** Takes in a configuration. */
+    public void configure(PoolConfig config) {
+        mState.configure(config);
+    }
+
+    /** Takes in an accepted workflow; one that is known already is left as it is. */
+    public void submitted(WorkflowSpec spec, long nowMillis) {
+        if (mState.mWorkflows.containsKey(spec.id())) {
+            return;
+        }
+        Workflow workflow = new Workflow(spec, nowMillis);
+        mState.mWorkflows.put(spec.id(), workflow);
+        if (!spec.timed()) {
+            mState.wake(workflow, 0, nowMillis);
+        }
+    }
+
+    /** Cancels a workflow; one that is unknown or over is left as it is. */
+    public void cancelled(String id, long nowMillis) {
+        Workflow workflow = mState.mWorkflows.get(id);
+        if (workflow != null) {
+            mState.finish(workflow, WorkflowState.CANCELLED, "cancelled by its caller", nowMillis);
+        }
+    }
+
+    /** Takes over a workflow from a former owner. */
+    public void restored(WorkflowSpec spec, WorkflowRow row, long nowMillis) {
+        Workflow workflow = new Workflow(spec, nowMillis);
+        workflow.mState = row.state();
+        workflow.mEndedOccurrences.addAll(row.endedOccurrences());
+        mState.mWorkflows.put(spec.id(), workflow);
+        if (row.state().isFinal()) {
+            return;
+        }
+        for (WorkflowRow.StepRow step : row.steps()) {
+            if (step.step() < spec.steps().size()) {
+                restore(workflow.open(step.occurrence()).get(step.step()), step, nowMillis);
+            }
+        }
+        if (!spec.timed() && workflow.mEndedOccurrences.isEmpty()) {
+            workflow.open(0);
+        }
+        workflow.mOccurrences.keySet().forEach(k -> mState.wake(workflow, k, nowMillis));
+    }
+
+    private void restore(Step step, WorkflowRow.StepRow row, long nowMillis) {
+        step.mGangFailures = row.gangFailures();
+        step.mGangCheckpoint = row.checkpoint();
+        for (WorkflowRow.TaskRow taskRow : row.tasks()) {
+            if (taskRow.index() >= step.mTasks.size()) {
+                continue;
+            }
+            Task task = step.mTasks.get(taskRow.index());
+            task.mRun = taskRow.run();
+            task.mFailures = taskRow.failures();
+            task.mCheckpoint = taskRow.checkpoint();
+            if (taskRow.done()) {
+                task.enter(Task.Phase.DONE, nowMillis);
+            } else if (!taskRow.worker().isEmpty()) {
+                PoolWorker worker = workerOf(taskRow.worker());
+                task.mWorker = worker;
+                worker.hold(task, PlacementRound.roomOf(step.mSpec));
+                task.enter(Task.Phase.INHERITED, nowMillis);
+            }
+        }
+    }
+
+    // A worker that is not listed may still run what a former owner started.
+    private PoolWorker workerOf(String id) {
+        return mState.mWorkers.computeIfAbsent(
+                id,
+                unused ->
+                        new PoolWorker(
+                                new WorkerEntry(
+                                        id, "", "", "", "", List.of(), Room.NONE, false, 0, 0, 0),
+                                mState.mLimits));
+    }
+
+    /** Takes in a worker as the platform lists it. */
+    public void listed(WorkerEntry entry, long nowMillis) {
+        PoolWorker worker =
+                mState.mWorkers.computeIfAbsent(
+                        entry.id(), id -> new PoolWorker(entry, mState.mLimits));
+        if (entry.bornMillis() > worker.mBornMillis) {
+            mRuns.newLife(worker, entry.bornMillis(), nowMillis);
+        }
+        worker.update(entry);
+        worker.mListed = true;
+    }
+
+    /** Takes note that the platform no longer lists a worker. */
+    public void unlisted(String id) {
+        PoolWorker worker = mState.mWorkers.get(id);
+        if (worker != null) {
+            worker.mListed = false;
+        }
+    }
+
+    /** Takes note that the platform lists these workers and no others. */
+    public void retainListed(Collection<String> ids) {
+        mState.mWorkers.values().forEach(worker -> worker.mListed &= ids.contains(worker.mId));
+    }
+
+    /**
+     * How far the ends of a worker's life were taken in.
+     *
+     * @param bornMillis start of the life
+     * @param sequence highest end
+     */
+    public record EndMark(long bornMillis, long sequence) {}
+
+    /** Returns how far the ends of each worker were taken in. */
+    public Map<String, EndMark> endsSeen() {
+        Map<String, EndMark> ends = new HashMap<>();
+        mState.mWorkers.forEach((id, worker) -> ends.put(id, markOf(worker)));
+        return ends;
+    }
+
+    private static EndMark markOf(PoolWorker worker) {
+        return new EndMark(worker.mBornMillis, worker.mSeenThrough);
+    }
+
+    /** Returns the workers that reports are wanted from. */
+    public List<WorkerEntry> workersToPoll() {
+        List<WorkerEntry> entries = new ArrayList<>();
+        for (PoolWorker worker : mState.mWorkers.values()) {
+            boolean reachable = !worker.entry().address().isEmpty();
+            if (reachable && (worker.mListed || !worker.isIdle())) {
+                entries.add(worker.entry());
+            }
+        }
+        return entries;
+    }
+
+    /** Returns whether a worker runs anything or will soon. */
+    public boolean isBusy(String workerId) {
+        PoolWorker worker = mState.mWorkers.get(workerId);
+        return worker != null && !worker.isIdle();
+    }
+
+    /** Returns the end of a lease given now, on the worker's clock; 0 if that is unknown. */
+    public long leaseDeadline(String workerId, long nowMillis) {
+        PoolWorker worker = mState.mWorkers.get(workerId);
+        return worker == null ? 0 : worker.mClock.deadline(nowMillis);
+    }
+
+    /** Returns how far the ends of a worker were taken in. */
+    public EndMark endsSeen(String workerId) {
+        PoolWorker worker = mState.mWorkers.get(workerId);
+        return worker == null ? new EndMark(0, 0) : markOf(worker);
+    }
+
+    /**
+     * Takes in a worker's report.
+     *
+     * @param sentMillis when the report was asked for
+     */
+    public void reported(String workerId, RunReport report, long sentMillis, long nowMillis) {
+        PoolWorker worker = mState.mWorkers.get(workerId);
+        if (worker != null) {
+            mRuns.reported(worker, report, sentMillis, nowMillis);
+        }
+    }
+
+    /** Takes note that a worker did not answer. */
+    public void silent(String workerId) {
+        PoolWorker worker = mState.mWorkers.get(workerId);
+        if (worker != null) {
+            worker.mContactMillis = NO_REPORT_MILLIS;
+        }
+    }
+
+    /**
+     * Takes in the answer to a start.
+     *
+     * @return false if another owner has replaced this one
+     */
+    public boolean started(TaskStart order, StartOutcome outcome, long nowMillis) {
+        return mRuns.started(order, outcome, nowMillis);
+    }
+
+    /** Takes in the answer to a stop. */
+    public void stopped(TaskStop order, boolean acknowledged, long nowMillis) {
+        mRuns.stopped(order, acknowledged, nowMillis);
+    }
+
+    /** Takes in an answer of the approval service. */
+    public void approved(ApprovalRequest request, Approvals approvals, long nowMillis) {
+        findStep(request.step())
+                .forEach(
+                        step -> step.mApprovals.answered(request.workers(), approvals, nowMillis));
+    }
+
+    /** Takes note that a request for approval got no answer. */
+    public void notApproved(ApprovalRequest request, long nowMillis) {
+        findStep(request.step())
+                .forEach(
+                        step -> {
+                            step.mApprovals.failed(nowMillis + ASK_AGAIN_MILLIS);
+                            step.dropReservations();
+                        });
+    }
+
+    private Option<Step> findStep(StepKey key) {
+        Workflow workflow = mState.mWorkflows.get(key.workflow());
+        List<Step> steps = workflow == null ? null : workflow.mOccurrences.get(key.occurrence());
+        return steps == null ? Option.none() : Option.of(steps.get(key.step()));
+    }
+
+    /** Does what time alone asks for: due occurrences, silent workers, stalled runs. */
+    public void tick(long nowMillis, long epochMillis) {
+        mUpkeep.run(nowMillis, epochMillis);
+    }
+
+    /** Places what can be placed. */
+    public void place(long nowMillis) {
+        new PlacementRound(mState, nowMillis).run();
+    }
+
+    /** Returns the durable state of a workflow, if it is known. */
+    public Option<WorkflowRow> row(String id) {
+        return Option.of(mState.mWorkflows.get(id)).map(WorkflowRow::of);
+    }
+
+    /** Returns the number of workflows of each queue that wait for their first start. */
+    public Map<String, Integer> pending() {
+        Map<String, Integer> counts = new HashMap<>();
+        for (Workflow workflow : mState.mWorkflows.values()) {
+            boolean waits = workflow.mState == WorkflowState.PENDING && !workflow.mSpec.timed();
+            counts.merge(workflow.mSpec.queue(), waits ? 1 : 0, Integer::sum);
+        }
+        return counts;
+    }
+
+    /** Returns when the ownership began. */
+    public long startedMillis() {
+        return mStartedMillis;
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -0,0 +1,105 @@
+package org.hyssoprouter.internal.workflow;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.StepSpec;
+import org.hyssoprouter.lib.workflow.TaskKey;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
+import org.jspecify.annotations.Nullable;
+
+/** A worker of a pool: what it can hold, what it holds, and how far it can be trusted. */
+final class PoolWorker {
+    final String mId;
+    final WorkerClock mClock;
+    final Map<Step, Room> mReserved = new HashMap<>();
+    private final Map<TaskKey, Held> mHeld = new HashMap<>();
+    private WorkerEntry mEntry;
+    private Room mUsed = Room.NONE;
+    boolean mListed;
+    long mBornMillis;
+    long mContactMillis = -1;
+    long mAvoidUntilMillis;
+    long mSeenThrough;
+    int mFailuresInRow;
+    int mPenalties;
+
+    PoolWorker(WorkerEntry entry, SchedulerLimits limits) {
+        mId = entry.id();
+        mEntry = entry;
+        mClock = new WorkerClock(limits);
+    }
+
+    /** Room that a run occupies. */
+    private record Held(Task task, Room room) {}
+
+    WorkerEntry entry() {
+        return mEntry;
+    }
+
+    void update(WorkerEntry entry) {
+        mEntry = entry;
+    }
+
+    void hold(Task task, Room room) {
+        release(task.mKey);
+        mHeld.put(task.mKey, new Held(task, room));
+        mUsed = mUsed.plus(room);
+    }
+
+    void release(TaskKey key) {
+        Held held = mHeld.remove(key);
+        if (held != null) {
+            mUsed = mUsed.minus(held.room());
+        }
+    }
+
+    /** Returns the task of that name that occupies room here, or null. */
+    @Nullable Task task(TaskKey key) {
+        Held held = mHeld.get(key);
+        return held == null ? null : held.task();
+    }
+
+    List<Task> tasks() {
+        List<Task> tasks = new ArrayList<>();
+        mHeld.values().forEach(held -> tasks.add(held.task()));
+        return tasks;
+    }
+
+    boolean isIdle() {
+        return mHeld.isEmpty();
+    }
+
+    /** Returns the room that a step may use: free and not reserved for another one. */
+    Room freeFor(Step step) {
+        Room free = mEntry.capacity().minus(mUsed);
+        for (Map.Entry<Step, Room> reserved : mReserved.entrySet()) {
+            if (!reserved.getKey().equals(step)) {
+                free = free.minus(reserved.getValue());
+            }
+        }
+        return free;
+    }
+
+    /** Returns whether new runs may go to this worker. */
+    boolean isUsable(long nowMillis, long contactWithinMillis) {
+        return mListed
+                && !mEntry.draining()
+                && mClock.isKnown()
+                && mContactMillis >= nowMillis - contactWithinMillis
+                && mAvoidUntilMillis <= nowMillis;
+    }
+
+    /** Returns whether a step's label allows this worker. */
+    boolean fits(StepSpec spec) {
+        String label = spec.limits().label();
+        return label.isEmpty() || mEntry.labels().contains(label);
+    }
+
+    @Override
+    public String toString() {
+        return mId;
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/SchedulerLimits.java
@@ -0,0 +1,22 @@
+package org.hyssoprouter.internal.workflow;
+
+/**
+ * Bounds of the platform that placement builds on, all in milliseconds.
+ *
+ * @param leaseMillis longest lease that a worker grants
+ * @param stopMillis longest time that a stop takes
+ * @param confirmMillis age of an owner's last commit up to which it renews leases
+ * @since 0.2
+ */
+public record SchedulerLimits(long leaseMillis, long stopMillis, long confirmMillis) {
+    /** A worker's clock may run slower than ours by this factor (platform's bound of 2%). */
+    static final double SLOWEST_CLOCK = 1.02;
+
+    /** Time for the rounding of clocks and the processing of an order. */
+    static final long MARGIN_MILLIS = 300;
+
+    /** Returns the time after which everything that a silent worker ran has lost its lease. */
+    long silenceMillis() {
+        return (long) ((leaseMillis + confirmMillis) * SLOWEST_CLOCK) + MARGIN_MILLIS;
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/workflow/Approvals.java
@@ -0,0 +1,12 @@
+package org.hyssoprouter.lib.workflow;
+
+import java.util.Map;
+
+/**
+ * Answer of the approval service for a step.
+ *
+ * @param tickets ticket of each approved worker, by worker
+ * @param validMillis time for which the tickets are accepted, in milliseconds
+ * @since 0.2
+ */
+public record Approvals(Map<String, String> tickets, long validMillis) {}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/ApprovalService.java
@@ -0,0 +1,21 @@
+package org.hyssoprouter.transport;
+
+import io.vavr.control.Either;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.lib.workflow.ApprovalRequest;
+import org.hyssoprouter.lib.workflow.Approvals;
+
+/**
+ * Port to the service that approves workers for a step.
+ *
+ * @since 0.2
+ */
+public interface ApprovalService {
+    /**
+     * Asks for approvals.
+     *
+     * @param timeoutMillis time after which no answer is awaited
+     */
+    CompletableFuture<Either<CallError, Approvals>> ask(ApprovalRequest request, long timeoutMillis);
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/PeerCallType.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/PeerCallType.java
@@ -29,7 +29,11 @@
     /** Takes a worker out of use or puts it back. */
     DRAIN_WORKER(11),
     /** Hosts of the shards that the peer owns, as its owner sees them. */
-    HOST_VIEWS(12);
+    HOST_VIEWS(12),
+    /** Asks the approval service on behalf of an owner. */
+    APPROVAL(13),
+    /** A caller's call of a daemon that cannot reach the table store. */
+    WORKFLOW_CALL(14);
 
     private final int mNumber;
 
