Poll workers only when all workflows are read

Cause: a new owner asked workers for their runs while accepted workflows were still being read. It stopped runs of workflows that it did not know yet and acknowledged their ends, so that finished tasks ran again. Change: polls and placement begin after the first full reading of the jobs.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -49,9 +49,10 @@
     private final Map<String, WorkflowRow> mRestored = new HashMap<>();
     private final Set<String> mSeenCancels = new HashSet<>();
     private final MonotonicClock mClock;
-    private boolean mOpen;
+    private volatile boolean mOpen;
     private boolean mRowsRead;
     private boolean mWorkersRead;
+    private boolean mJobsStarted;
     private boolean mPumping;
     private boolean mClosed;
 
@@ -230,17 +231,27 @@
                 .forEach(d -> LOG.log(LogEvent.DECISION, d.subject(), d.what(), d.inputs()));
         mApprovals.pump();
         mCommits.pump();
-        mPolls.pump();
+        if (mOpen) {
+            mPolls.pump();
+        }
+    }
+
+    private void readJobsIfRead() {
+        if (!mJobsStarted && mRowsRead && mWorkersRead) {
+            mJobsStarted = true;
+            mJobs.start();
+        }
     }
 
-    private void openIfRead() {
-        if (mOpen || !mRowsRead || !mWorkersRead) {
+    // Workers are asked only now: an end or run of an unknown workflow would be dropped for good.
+    private void open() {
+        if (mOpen || mClosed) {
             return;
         }
         mOpen = true;
         long millis = mClock.millis() - mScheduler.startedMillis();
-        LOG.log(LogEvent.POOLS_OPENED, mCommits.epoch(), mRestored.size(), millis);
-        mJobs.start();
+        LOG.log(LogEvent.POOLS_OPENED, mCommits.epoch(), mScheduler.workflowCount(), millis);
+        pumpSoon();
     }
 
     /** Reads the former owner's rows once. */
@@ -273,13 +284,20 @@
                     () -> {
                         mRestored.putAll(read);
                         mRowsRead = true;
-                        openIfRead();
+                        readJobsIfRead();
                     });
         }
     }
 
     /** Takes in accepted workflows and cancellations. */
     private final class JobRows implements TableFollower.Listener {
+        @Override
+        public void synced(long version, long storeMillis) {
+            if (!mOpen) {
+                mThread.execute(PoolOwner.this::open);
+            }
+        }
+
         @Override
         public void row(PartitionTable.Entry entry) {
             byte[] value = entry.value();
@@ -353,7 +371,7 @@
                     () -> {
                         mWorkersRead = true;
                         mScheduler.retainListed(listed);
-                        openIfRead();
+                        readJobsIfRead();
                     });
         }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -290,6 +290,11 @@
         return counts;
     }
 
+    /** Returns the number of workflows that are known. */
+    public int workflowCount() {
+        return mState.mWorkflows.size();
+    }
+
     /** Returns when the ownership began. */
     public long startedMillis() {
         return mStartedMillis;
