--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -29,7 +29,7 @@
     private static final double LONG_CALL_MILLIS = 250;
 
     /** Added to the expected time before a call counts as lost. */
-    private static final long TIMEOUT_SLACK_MILLIS = 900;
+    private static final long TIMEOUT_SLACK_MILLIS = 350;
 
     /** Time for which a daemon whose call failed gets none. */
     private static final long FAILED_MILLIS = 1_500;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -231,9 +231,7 @@
                 .forEach(d -> LOG.log(LogEvent.DECISION, d.subject(), d.what(), d.inputs()));
         mApprovals.pump();
         mCommits.pump();
-        if (mOpen) {
-            mPolls.pump();
-        }
+        mPolls.pump();
     }
 
     private void readJobsIfRead() {
@@ -243,7 +241,6 @@
         }
     }
 
-    // Workers are asked only now: an end or run of an unknown workflow would be dropped for good.
     private void open() {
         if (mOpen || mClosed) {
             return;
@@ -251,6 +248,7 @@
         mOpen = true;
         long millis = mClock.millis() - mScheduler.startedMillis();
         LOG.log(LogEvent.POOLS_OPENED, mCommits.epoch(), mScheduler.workflowCount(), millis);
+        mPolls.open();
         pumpSoon();
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
@@ -40,7 +40,7 @@
     private final SchedulerLimits mLimits;
     private final Listener mListener;
     private final Map<String, Poll> mPolls = new HashMap<>();
-    private boolean mClosed;
+    private boolean mOpen;
 
     /** Hears of reports. */
     interface Listener {
@@ -76,13 +76,22 @@
         mListener = listener;
     }
 
+    /**
+     * Begins to ask workers. Before all workflows are known, an end or run of an unknown one would be
+     * dropped for good.
+     */
+    void open() {
+        mOpen = true;
+        pump();
+    }
+
     void close() {
-        mClosed = true;
+        mOpen = false;
     }
 
     /** Opens a call to each worker that has none. */
     void pump() {
-        if (mClosed) {
+        if (!mOpen) {
             return;
         }
         long nowMillis = mClock.millis();
@@ -134,7 +143,7 @@
             Poll poll,
             Either<CallError, RunReport> result,
             long sentMillis) {
-        if (mClosed) {
+        if (!mOpen) {
             return;
         }
         poll.mOpen = false;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerClock.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerClock.java
@@ -21,6 +21,10 @@
         if (mKnown && theirMillis < earliest(nowMillis)) {
             return;
         }
+        if (!mKnown) {
+            // A former owner may have given a lease just before.
+            mLatestDeadlineMillis = theirMillis + mLimits.leaseMillis();
+        }
         mKnown = true;
         mTheirMillis = theirMillis;
         mOurMillis = nowMillis;
--- /dev/null
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -0,0 +1,179 @@
+package org.hyssoprouter.internal.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.StepSpec;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+class PoolSchedulerTest {
+    private final SimulatedPool mPool =
+            new SimulatedPool().queue("batch", 1, 3, 1).queue("urgent", 0, 3, 0.5);
+
+    @AfterEach
+    void nothingWasOverfullOrRanTwice() {
+        assertEquals(List.of(), mPool.breaches());
+    }
+
+    static StepSpec step(int tasks, long cpuMillis, long millis, boolean gang, Integer... after) {
+        return new StepSpec(
+                tasks,
+                new Room(cpuMillis, 1, 0),
+                millis,
+                List.of(after),
+                gang,
+                StepSpec.Limits.NONE,
+                StepSpec.Habits.PLAIN);
+    }
+
+    static WorkflowSpec workflow(String id, String queue, StepSpec... steps) {
+        return new WorkflowSpec(id, queue, "payload", List.of(steps), WorkflowSpec.Schedule.ONCE);
+    }
+
+    private void workers(int count) {
+        for (int i = 0; i < count; i++) {
+            mPool.worker("w" + i, 4_000);
+        }
+    }
+
+    @Test
+    void dependentStepsRunOneAfterTheOther() {
+        workers(2);
+        mPool.submit(
+                workflow(
+                        "a", "batch", step(3, 1_000, 500, false), step(2, 1_000, 500, false, 0)));
+        mPool.run(3_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+        assertTrue(mPool.tookMillis("a") >= 1_000, "took " + mPool.tookMillis("a"));
+        assertEquals(5, mPool.starts());
+    }
+
+    @Test
+    void aGangStartsWholeOrNotAtAll() {
+        workers(2);
+        mPool.submit(workflow("fill", "batch", step(2, 3_000, 1_000, false)));
+        mPool.run(100);
+        mPool.submit(workflow("gang", "batch", step(4, 2_000, 500, true)));
+        mPool.run(800);
+        assertEquals(2, mPool.starts());
+        mPool.run(3_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("gang"));
+        assertEquals(6, mPool.starts());
+    }
+
+    @Test
+    void approvedWorkersOnlyRunAnUrgentStep() {
+        workers(8);
+        mPool.submit(workflow("u", "urgent", step(4, 1_000, 300, false)));
+        mPool.run(2_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("u"));
+        assertTrue(mPool.asked() >= 1);
+    }
+
+    @Test
+    void aNewOwnerGoesOnWithoutRunningAnythingTwice() {
+        workers(3);
+        for (int i = 0; i < 6; i++) {
+            mPool.submit(workflow("a" + i, "batch", step(3, 1_000, 700, false)));
+        }
+        mPool.run(900);
+        mPool.takeOver();
+        mPool.run(400);
+        mPool.takeOver();
+        mPool.run(8_000);
+        for (int i = 0; i < 6; i++) {
+            assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a" + i));
+        }
+    }
+
+    @Test
+    void runsOfACutOffWorkerWaitForTheirLease() {
+        SimulatedPool.SimulatedWorker worker = mPool.worker("w0", 4_000);
+        mPool.worker("w1", 4_000);
+        mPool.submit(workflow("a", "batch", step(8, 1_000, 9_000, false)));
+        mPool.run(1_000);
+        worker.cut(true);
+        for (int i = 0; i < 500; i++) {
+            mPool.at(i * 50L, worker::lapse);
+        }
+        mPool.run(30_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+    }
+
+    @Test
+    void aRestartedWorkerHasLostItsRuns() {
+        SimulatedPool.SimulatedWorker worker = mPool.worker("w0", 4_000);
+        mPool.submit(workflow("a", "batch", step(2, 1_000, 1_000, false)));
+        mPool.run(600);
+        worker.restart();
+        mPool.run(3_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+        assertEquals(4, mPool.starts());
+    }
+
+    @Test
+    void aStartWithoutAnAnswerIsSettledBeforeTheTaskGoesElsewhere() {
+        SimulatedPool.SimulatedWorker worker = mPool.worker("w0", 4_000);
+        worker.dropAnswers(true);
+        mPool.submit(workflow("a", "batch", step(3, 1_000, 400, false)));
+        mPool.run(300);
+        mPool.worker("w1", 4_000);
+        worker.dropAnswers(false);
+        mPool.run(8_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+    }
+
+    @Test
+    void aWorkerThatFailsEverythingDoesNotUseUpTheAttempts() {
+        mPool.worker("w0", 1_000).failEverything(true);
+        workers(0);
+        for (int i = 1; i < 6; i++) {
+            mPool.worker("w" + i, 4_000);
+        }
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            String id = "a" + i;
+            ids.add(id);
+            mPool.at(i * 100L, () -> mPool.submit(workflow(id, "batch", step(2, 500, 300, false))));
+        }
+        mPool.run(12_000);
+        ids.forEach(id -> assertEquals(WorkflowState.COMPLETE, mPool.stateOf(id), id));
+    }
+
+    @Test
+    void aRunThatDoesNotAdvanceMovesElsewhere() {
+        mPool.worker("w0", 1_000).stallEverything(true);
+        mPool.submit(workflow("a", "batch", step(1, 1_000, 500, false)));
+        mPool.run(200);
+        mPool.worker("w1", 1_000);
+        mPool.run(6_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+    }
+
+    @Test
+    void aWorkflowThatCannotBeDoneFails() {
+        mPool.worker("w0", 4_000).failEverything(true);
+        mPool.submit(workflow("a", "batch", step(1, 1_000, 300, false)));
+        mPool.run(30_000);
+        assertEquals(WorkflowState.FAILED, mPool.stateOf("a"));
+        assertEquals(3, mPool.starts());
+    }
+
+    @Test
+    void aCancelledWorkflowLeavesItsRoom() {
+        workers(1);
+        mPool.submit(workflow("a", "batch", step(4, 1_000, 60_000, false)));
+        mPool.run(500);
+        mPool.cancel("a");
+        mPool.submit(workflow("b", "batch", step(4, 1_000, 300, false)));
+        mPool.run(3_000);
+        assertEquals(WorkflowState.CANCELLED, mPool.stateOf("a"));
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("b"));
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -0,0 +1,469 @@
+package org.hyssoprouter.internal.workflow;
+
+import io.vavr.control.Option;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.ApprovalRequest;
+import org.hyssoprouter.lib.workflow.Approvals;
+import org.hyssoprouter.lib.workflow.EndKind;
+import org.hyssoprouter.lib.workflow.PoolConfig;
+import org.hyssoprouter.lib.workflow.QueuePolicy;
+import org.hyssoprouter.lib.workflow.RunReport;
+import org.hyssoprouter.lib.workflow.StartOutcome;
+import org.hyssoprouter.lib.workflow.StepSpec;
+import org.hyssoprouter.lib.workflow.TaskKey;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.TaskStop;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+
+/**
+ * A pool in virtual time: workers that run tasks, an approval service and durable rows, driven by a
+ * {@link PoolScheduler}. It checks at each start that no worker is overfull, that no task runs twice
+ * at a time and that none starts after its end.
+ */
+final class SimulatedPool {
+    static final String POOL = "pool";
+    static final SchedulerLimits LIMITS = new SchedulerLimits(6_000, 900, 2_500);
+
+    private static final long CALL_MILLIS = 3;
+    private static final long COMMIT_MILLIS = 10;
+    private static final long REPORT_MILLIS = 250;
+    private static final long TICK_MILLIS = 50;
+
+    private final PriorityQueue<Event> mEvents =
+            new PriorityQueue<>(
+                    Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
+    private final Map<String, SimulatedWorker> mWorkers = new TreeMap<>();
+    private final Map<String, WorkflowSpec> mSpecs = new TreeMap<>();
+    private final Map<String, WorkflowRow> mRows = new HashMap<>();
+    private final Map<String, Long> mCompletedMillis = new HashMap<>();
+    private final Map<String, Long> mSubmittedMillis = new HashMap<>();
+    private final Set<TaskKey> mDone = new HashSet<>();
+    private final List<String> mBreaches = new ArrayList<>();
+    private final List<QueuePolicy> mQueues = new ArrayList<>();
+    private final Map<String, Double> mApprovedShare = new HashMap<>();
+    private PoolScheduler mScheduler = new PoolScheduler(LIMITS, 0);
+    private long mNowMillis;
+    private long mOrder;
+    private long mEpoch = 1;
+    private int mStarts;
+    private int mAsked;
+
+    /** Something that happens at a time. */
+    private record Event(long atMillis, long order, Runnable action) {}
+
+    SimulatedPool() {
+        at(TICK_MILLIS, this::tick);
+    }
+
+    SimulatedPool queue(String name, int priority, int maxAttempts, double approvedShare) {
+        Option<QueuePolicy.Approval> approval =
+                approvedShare < 1
+                        ? Option.some(new QueuePolicy.Approval(20, 0.2, 2_000))
+                        : Option.none();
+        mQueues.add(
+                new QueuePolicy(
+                        name,
+                        "host",
+                        "/" + name + "/",
+                        POOL,
+                        priority,
+                        maxAttempts,
+                        new QueuePolicy.Objective(2, 1_000),
+                        approval));
+        mApprovedShare.put(name, approvedShare);
+        mScheduler.configure(new PoolConfig(1, mQueues, List.of(POOL)));
+        return this;
+    }
+
+    SimulatedWorker worker(String id, long cpuMillis) {
+        SimulatedWorker worker = new SimulatedWorker(id, cpuMillis);
+        mWorkers.put(id, worker);
+        mScheduler.listed(worker.entry(mNowMillis), mNowMillis);
+        report(worker);
+        return worker;
+    }
+
+    /** Stops listing a worker, which runs on. */
+    void unlist(String id) {
+        mScheduler.unlisted(id);
+    }
+
+    void submit(WorkflowSpec spec) {
+        mSpecs.put(spec.id(), spec);
+        mSubmittedMillis.put(spec.id(), mNowMillis);
+        mScheduler.submitted(spec, mNowMillis);
+        pump();
+    }
+
+    void cancel(String id) {
+        mScheduler.cancelled(id, mNowMillis);
+        pump();
+    }
+
+    void at(long afterMillis, Runnable action) {
+        mEvents.add(new Event(mNowMillis + afterMillis, mOrder++, action));
+    }
+
+    void run(long forMillis) {
+        long untilMillis = mNowMillis + forMillis;
+        while (!mEvents.isEmpty() && mEvents.peek().atMillis() <= untilMillis) {
+            Event event = mEvents.poll();
+            mNowMillis = event.atMillis();
+            event.action().run();
+        }
+        mNowMillis = untilMillis;
+    }
+
+    /** Replaces the owner by one that knows only the durable rows. */
+    void takeOver() {
+        mEpoch++;
+        mScheduler = new PoolScheduler(LIMITS, mNowMillis);
+        mScheduler.configure(new PoolConfig(1, mQueues, List.of(POOL)));
+        mWorkers.values().forEach(w -> mScheduler.listed(w.entry(mNowMillis), mNowMillis));
+        mSpecs.forEach(
+                (id, spec) -> {
+                    WorkflowRow row = mRows.get(id);
+                    if (row == null) {
+                        mScheduler.submitted(spec, mNowMillis);
+                    } else {
+                        mScheduler.restored(spec, row, mNowMillis);
+                    }
+                });
+        mWorkers.values().forEach(this::report);
+        pump();
+    }
+
+    WorkflowState stateOf(String id) {
+        WorkflowRow row = mRows.get(id);
+        return row == null ? WorkflowState.PENDING : row.state();
+    }
+
+    /** Returns the time from submission to completion, or -1. */
+    long tookMillis(String id) {
+        Long completed = mCompletedMillis.get(id);
+        return completed == null ? -1 : completed - mSubmittedMillis.getOrDefault(id, 0L);
+    }
+
+    List<String> breaches() {
+        return mBreaches;
+    }
+
+    int starts() {
+        return mStarts;
+    }
+
+    int asked() {
+        return mAsked;
+    }
+
+    long nowMillis() {
+        return mNowMillis;
+    }
+
+    private void tick() {
+        mScheduler.tick(mNowMillis, mNowMillis);
+        pump();
+        at(TICK_MILLIS, this::tick);
+    }
+
+    private void pump() {
+        PoolScheduler scheduler = mScheduler;
+        scheduler.place(mNowMillis);
+        Effects effects = scheduler.effects();
+        effects.takeDecisions();
+        List<TaskStart> starts = effects.takeStarts();
+        List<String> changed = effects.takeChanged();
+        if (!changed.isEmpty()) {
+            Map<String, WorkflowRow> rows = new HashMap<>();
+            changed.forEach(id -> scheduler.row(id).forEach(row -> rows.put(id, row)));
+            at(COMMIT_MILLIS, () -> committed(scheduler, rows, starts));
+        }
+        for (TaskStop stop : effects.takeStops()) {
+            at(CALL_MILLIS, () -> deliver(scheduler, stop));
+        }
+        for (ApprovalRequest request : effects.takeApprovals()) {
+            mAsked++;
+            at((long) request.expectedMillis(), () -> approve(scheduler, request));
+        }
+    }
+
+    private void committed(
+            PoolScheduler scheduler, Map<String, WorkflowRow> rows, List<TaskStart> starts) {
+        if (!scheduler.equals(mScheduler)) {
+            return;
+        }
+        mRows.putAll(rows);
+        rows.forEach(
+                (id, row) -> {
+                    if (row.state() == WorkflowState.COMPLETE) {
+                        mCompletedMillis.putIfAbsent(id, mNowMillis);
+                    }
+                });
+        for (TaskStart start : starts) {
+            long deadlineMillis = scheduler.leaseDeadline(start.workerId(), mNowMillis);
+            at(CALL_MILLIS, () -> deliver(scheduler, start, deadlineMillis));
+        }
+    }
+
+    private void deliver(PoolScheduler scheduler, TaskStart start, long deadlineMillis) {
+        SimulatedWorker worker = mWorkers.get(start.workerId());
+        StartOutcome outcome =
+                worker == null || worker.isDown()
+                        ? StartOutcome.NOT_SENT
+                        : worker.start(start, mEpoch, deadlineMillis);
+        at(
+                CALL_MILLIS,
+                () -> {
+                    scheduler.started(start, outcome, mNowMillis);
+                    if (scheduler.equals(mScheduler)) {
+                        pump();
+                    }
+                });
+    }
+
+    private void deliver(PoolScheduler scheduler, TaskStop stop) {
+        SimulatedWorker worker = mWorkers.get(stop.workerId());
+        boolean done = worker != null && !worker.isDown();
+        if (worker != null && done) {
+            worker.stop(stop);
+        }
+        at(CALL_MILLIS, () -> scheduler.stopped(stop, done, mNowMillis));
+    }
+
+    private void approve(PoolScheduler scheduler, ApprovalRequest request) {
+        WorkflowSpec spec = mSpecs.get(request.step().workflow());
+        double share = spec == null ? 0 : mApprovedShare.getOrDefault(spec.queue(), 1.0);
+        Map<String, String> tickets = new HashMap<>();
+        for (String worker : request.workers()) {
+            int hash = Math.floorMod((worker + request.step()).hashCode() * 31, 1_000);
+            if (hash < share * 1_000) {
+                tickets.put(worker, "ticket");
+            }
+        }
+        scheduler.approved(request, new Approvals(tickets, 2_000), mNowMillis);
+        if (scheduler.equals(mScheduler)) {
+            pump();
+        }
+    }
+
+    private void report(SimulatedWorker worker) {
+        PoolScheduler scheduler = mScheduler;
+        if (!worker.isDown()) {
+            long sentMillis = mNowMillis;
+            RunReport report =
+                    worker.report(scheduler.leaseDeadline(worker.mId, mNowMillis));
+            at(
+                    CALL_MILLIS,
+                    () -> {
+                        scheduler.reported(worker.mId, report, sentMillis, mNowMillis);
+                        if (scheduler.equals(mScheduler)) {
+                            pump();
+                        }
+                    });
+        } else {
+            scheduler.silent(worker.mId);
+        }
+        at(
+                REPORT_MILLIS,
+                () -> {
+                    if (scheduler.equals(mScheduler)) {
+                        report(worker);
+                    }
+                });
+    }
+
+    /** A worker that starts whatever it is told to. */
+    final class SimulatedWorker {
+        private final String mId;
+        private final Room mCapacity;
+        private final Map<TaskKey, Run> mRuns = new TreeMap<>(Comparator.comparing(k -> "" + k));
+        private final Map<TaskKey, Integer> mBarred = new HashMap<>();
+        private final List<RunReport.Ended> mEnded = new ArrayList<>();
+        private boolean mDown;
+        private boolean mFails;
+        private boolean mStalls;
+        private boolean mDropsAnswers;
+        private double mSlowness = 1;
+        private long mSequence;
+        private long mToken;
+        private long mBornMillis = 1;
+        private long mDeadlineMillis;
+
+        SimulatedWorker(String id, long cpuMillis) {
+            mId = id;
+            mCapacity = new Room(cpuMillis, 1L << 40, 0);
+        }
+
+        private record Run(TaskStart order, StepSpec spec, long startMillis, long workMillis) {}
+
+        WorkerEntry entry(long nowMillis) {
+            return new WorkerEntry(
+                    mId, POOL, mId + ":1", "domain", "r1", List.of("a", "r1"), mCapacity, false, 0,
+                    nowMillis, mBornMillis);
+        }
+
+        boolean isDown() {
+            return mDown;
+        }
+
+        /** Cuts the worker off; its runs go on until their lease ends. */
+        void cut(boolean down) {
+            mDown = down;
+        }
+
+        void failEverything(boolean fails) {
+            mFails = fails;
+        }
+
+        void stallEverything(boolean stalls) {
+            mStalls = stalls;
+        }
+
+        void dropAnswers(boolean drops) {
+            mDropsAnswers = drops;
+        }
+
+        void slowDown(double factor) {
+            mSlowness = factor;
+        }
+
+        void restart() {
+            mRuns.clear();
+            mBarred.clear();
+            mEnded.clear();
+            mSequence = 0;
+            mToken = 0;
+            mBornMillis = mNowMillis + 1;
+        }
+
+        StartOutcome start(TaskStart order, long token, long deadlineMillis) {
+            if (token < mToken) {
+                return StartOutcome.FENCED;
+            }
+            mToken = token;
+            if (mRuns.containsKey(order.task())) {
+                mBreaches.add("twice on one worker: " + order.task());
+            }
+            if (order.run() <= mBarred.getOrDefault(order.task(), 0)) {
+                return StartOutcome.OLD_RUN;
+            }
+            WorkflowSpec workflow = mSpecs.get(order.task().step().workflow());
+            if (workflow == null) {
+                return StartOutcome.INVALID;
+            }
+            StepSpec spec = workflow.steps().get(order.task().step().step());
+            check(order, spec);
+            mStarts++;
+            mDeadlineMillis = Math.max(mDeadlineMillis, deadlineMillis);
+            long workMillis = (long) (spec.estimateMillis() * mSlowness);
+            Run run = new Run(order, spec, mNowMillis, workMillis);
+            mRuns.put(order.task(), run);
+            if (!mStalls) {
+                at(mFails ? workMillis / 10 : workMillis, () -> over(run));
+            }
+            return mDropsAnswers ? StartOutcome.UNKNOWN : StartOutcome.ACCEPTED;
+        }
+
+        private void check(TaskStart order, StepSpec spec) {
+            Room used = spec.room();
+            for (Run run : mRuns.values()) {
+                used = used.plus(run.spec().room());
+            }
+            if (!used.fitsIn(mCapacity)) {
+                mBreaches.add("overfull: " + mId + " by " + order.task());
+            }
+            if (mDone.contains(order.task())) {
+                mBreaches.add("started after its end: " + order.task());
+            }
+            for (SimulatedWorker other : mWorkers.values()) {
+                if (other != this && other.mRuns.containsKey(order.task())) {
+                    mBreaches.add("in two places: " + order.task());
+                }
+            }
+        }
+
+        private void over(Run run) {
+            if (!run.equals(mRuns.get(run.order().task()))) {
+                return;
+            }
+            if (mFails) {
+                end(run, EndKind.FAILED);
+                return;
+            }
+            if (run.spec().gang()) {
+                endGang(run);
+                return;
+            }
+            mDone.add(run.order().task());
+            end(run, EndKind.DONE);
+        }
+
+        private void endGang(Run run) {
+            for (SimulatedWorker worker : mWorkers.values()) {
+                for (Run member : new ArrayList<>(worker.mRuns.values())) {
+                    if (member.order().task().step().equals(run.order().task().step())) {
+                        mDone.add(member.order().task());
+                        worker.end(member, EndKind.DONE);
+                    }
+                }
+            }
+        }
+
+        private void end(Run run, EndKind kind) {
+            mRuns.remove(run.order().task());
+            mBarred.merge(run.order().task(), run.order().run(), Math::max);
+            mEnded.add(
+                    new RunReport.Ended(
+                            ++mSequence, run.order().task(), run.order().run(), kind, "saved"));
+        }
+
+        void stop(TaskStop stop) {
+            mBarred.merge(stop.task(), stop.run(), Math::max);
+            Run run = mRuns.get(stop.task());
+            if (run != null && run.order().run() == stop.run()) {
+                at(
+                        100,
+                        () -> {
+                            if (run.equals(mRuns.get(stop.task()))) {
+                                end(run, EndKind.STOPPED);
+                            }
+                        });
+            }
+        }
+
+        RunReport report(long deadlineMillis) {
+            mToken = mEpoch;
+            mDeadlineMillis = Math.max(mDeadlineMillis, deadlineMillis);
+            List<RunReport.Running> running = new ArrayList<>();
+            for (Run run : mRuns.values()) {
+                long percent = 100 * (mNowMillis - run.startMillis()) / (run.workMillis() + 1);
+                running.add(
+                        new RunReport.Running(
+                                run.order().task(),
+                                run.order().run(),
+                                "saved",
+                                mStalls ? 0 : (int) Math.min(99, percent),
+                                0));
+            }
+            return new RunReport(mNowMillis, mBornMillis, running, new ArrayList<>(mEnded));
+        }
+
+        /** Kills what runs without a lease; called by tests that cut workers off. */
+        void lapse() {
+            if (mNowMillis > mDeadlineMillis) {
+                new ArrayList<>(mRuns.values()).forEach(run -> end(run, EndKind.LAPSED));
+            }
+        }
+    }
+}
