Stop patient tasks that save their progress for wide urgent gangs

Change: a step that fits nowhere reserves workers on which less urgent tasks with checkpoints are stopped, each at most twice.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -8,7 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
+import java.util.function.Function;
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.ApprovalRequest;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
@@ -41,11 +41,13 @@
     private final long mNowMillis;
     private final Map<PoolWorker, Step> mClaims = new HashMap<>();
     private final Map<String, List<PoolWorker>> mUsable = new HashMap<>();
+    private final Preemption mPreemption;
     private int mClaimants;
 
     PlacementRound(PoolState state, long nowMillis) {
         mState = state;
         mNowMillis = nowMillis;
+        mPreemption = new Preemption(state, this::priority, nowMillis);
     }
 
     void run() {
@@ -86,11 +88,11 @@
             placeApproved(step, tasks, candidates, policy);
             return;
         }
-        Map<Task, PoolWorker> plan = plan(step, tasks, candidates);
-        if (plan.isEmpty() && step.mSpec.gang()) {
+        assign(step, plan(step, tasks, candidates));
+        List<Task> left = step.placeable();
+        if (!left.isEmpty() && !preempt(step, left, candidates) && step.mSpec.gang()) {
             claim(step, candidates);
         }
-        assign(step, plan);
     }
 
     private void placeApproved(
@@ -120,6 +122,10 @@
             ask(step, new ArrayList<>(new HashSet<>(wanted.values())), policy);
             return;
         }
+        if (preempt(step, left, approved)) {
+            ask(step, new ArrayList<>(step.mReserved.keySet()), policy);
+            return;
+        }
         if (!unnamed.isEmpty() && worthAsking(step, unnamed)) {
             unnamed.sort(Comparator.comparingLong(w -> -w.freeFor(step).cpuMillis()));
             ask(step, unnamed.subList(0, Math.min(MAX_NAMED, unnamed.size())), policy);
@@ -149,6 +155,24 @@
                 new ApprovalRequest(step.mKey, policy.priority(), names, expectedMillis));
     }
 
+    /** Reserves workers on which less urgent tasks are stopped; returns whether that helps. */
+    private boolean preempt(Step step, List<Task> tasks, List<PoolWorker> from) {
+        if (!step.mReserved.isEmpty()) {
+            return true;
+        }
+        Map<Task, PoolWorker> wanted =
+                plan(step, tasks, from, worker -> mPreemption.reachable(step, worker));
+        if (wanted.isEmpty()) {
+            return false;
+        }
+        reserve(step, wanted);
+        step.mReservedUntilMillis = mNowMillis + mState.mLimits.stopMillis() + RESERVE_SLACK_MILLIS;
+        Room room = roomOf(step.mSpec);
+        step.mReserved.forEach(
+                (worker, count) -> mPreemption.makeRoom(step, worker, times(room, count)));
+        return true;
+    }
+
     private void expireReservation(Step step) {
         if (!step.mReserved.isEmpty() && step.mReservedUntilMillis < mNowMillis) {
             step.dropReservations();
@@ -189,12 +213,20 @@
         }
     }
 
-    /** Chooses workers; of a gang for all tasks or none. */
     private Map<Task, PoolWorker> plan(Step step, List<Task> tasks, List<PoolWorker> from) {
+        return plan(step, tasks, from, worker -> worker.freeFor(step));
+    }
+
+    /** Chooses workers by the room that counts as free; of a gang for all tasks or none. */
+    private static Map<Task, PoolWorker> plan(
+            Step step,
+            List<Task> tasks,
+            List<PoolWorker> from,
+            Function<PoolWorker, Room> freeRoom) {
         Map<Task, PoolWorker> plan = new LinkedHashMap<>();
         Map<PoolWorker, Integer> slots = new LinkedHashMap<>();
         for (PoolWorker worker : inOrder(step, from)) {
-            int free = slots(step, worker);
+            int free = slots(step, worker, freeRoom.apply(worker));
             if (free > 0) {
                 slots.put(worker, free);
             }
@@ -236,7 +268,7 @@
         Map<String, Long> racks = new HashMap<>();
         if (step.mSpec.limits().sameRack()) {
             for (PoolWorker worker : workers) {
-                racks.merge(worker.entry().rack(), (long) slots(step, worker), Long::sum);
+                racks.merge(worker.entry().rack(), (long) slots(step, worker, worker.freeFor(step)), Long::sum);
             }
         }
         List<PoolWorker> ordered = new ArrayList<>(workers);
@@ -249,8 +281,8 @@
         return ordered;
     }
 
-    private static int slots(Step step, PoolWorker worker) {
-        long slots = timesIn(roomOf(step.mSpec), worker.freeFor(step));
+    private static int slots(Step step, PoolWorker worker, Room free) {
+        long slots = timesIn(roomOf(step.mSpec), free);
         int bound = step.mSpec.limits().maxPerWorker();
         if (bound > 0) {
             slots = Math.min(slots, bound - step.tasksOn(worker));
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Preemption.java
@@ -0,0 +1,81 @@
+package org.hyssoprouter.internal.workflow;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.function.ToIntFunction;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.StepSpec;
+
+/**
+ * Makes room for urgent steps at the cost of less urgent tasks that save their progress. Load
+ * pattern: a pool kept full by many small patient tasks, in which a wide gang would wait for ever
+ * for enough room at one time.
+ */
+final class Preemption {
+    /** A task that was stopped so often runs to its end. */
+    static final int MAX_PREEMPTIONS = 2;
+
+    private final PoolState mState;
+    private final ToIntFunction<Step> mPriority;
+    private final long mNowMillis;
+
+    /**
+     * Creates the rule of one round.
+     *
+     * @param priority urgency of a step; 0 comes first
+     */
+    Preemption(PoolState state, ToIntFunction<Step> priority, long nowMillis) {
+        mState = state;
+        mPriority = priority;
+        mNowMillis = nowMillis;
+    }
+
+    /** Returns the room that a step could have on a worker once others have been stopped. */
+    Room reachable(Step step, PoolWorker worker) {
+        Room room = worker.freeFor(step);
+        for (Task task : worker.tasks()) {
+            if (task.mPhase == Task.Phase.STOPPING || mayStop(step, task)) {
+                room = room.plus(PlacementRound.roomOf(task.mStep.mSpec));
+            }
+        }
+        return room;
+    }
+
+    /** Stops tasks on a worker until a step will have the room that it needs there. */
+    void makeRoom(Step step, PoolWorker worker, Room needed) {
+        Room free = worker.freeFor(step);
+        List<Task> victims = new ArrayList<>();
+        for (Task task : worker.tasks()) {
+            if (task.mPhase == Task.Phase.STOPPING) {
+                free = free.plus(PlacementRound.roomOf(task.mStep.mSpec));
+            } else if (mayStop(step, task)) {
+                victims.add(task);
+            }
+        }
+        // The least urgent first, and of these the one that has done the least.
+        victims.sort(
+                Comparator.comparingInt((Task task) -> -mPriority.applyAsInt(task.mStep))
+                        .thenComparingInt(task -> task.mPercent));
+        for (Task task : victims) {
+            if (needed.fitsIn(free)) {
+                return;
+            }
+            free = free.plus(PlacementRound.roomOf(task.mStep.mSpec));
+            task.mPreemptions++;
+            mState.mEffects.decided(
+                    task.mKey, "preempted", "worker=" + worker + " for " + step.mKey);
+            mState.stop(task, "preempted for " + step.mKey, mNowMillis);
+        }
+    }
+
+    private boolean mayStop(Step step, Task task) {
+        StepSpec spec = task.mStep.mSpec;
+        return task.mPhase == Task.Phase.RUNNING
+                && mPriority.applyAsInt(task.mStep) > mPriority.applyAsInt(step)
+                && spec.habits().checkpoints()
+                && !spec.gang()
+                && !spec.habits().longRunning()
+                && task.mPreemptions < MAX_PREEMPTIONS;
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -13,6 +13,7 @@
     Phase mPhase = Phase.WAITING;
     int mRun;
     int mFailures;
+    int mPreemptions;
     String mCheckpoint = "";
     @Nullable PoolWorker mWorker;
     long mPhaseMillis;
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -165,6 +165,45 @@
         assertEquals(3, mPool.starts());
     }
 
+    // Load pattern: patient tasks keep the pool full, so that no room for a gang is ever free at once.
+    @Test
+    void aWideUrgentGangDoesNotWaitForPatientTasks() {
+        workers(4);
+        StepSpec patient = saving(step(16, 1_000, 20_000, false));
+        mPool.queue("patient", 2, 3, 1);
+        mPool.submit(workflow("patient", "patient", patient));
+        mPool.run(500);
+        mPool.submit(workflow("gang", "batch", step(4, 3_000, 500, true)));
+        mPool.run(4_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("gang"));
+        assertTrue(mPool.tookMillis("gang") < 2_500, "took " + mPool.tookMillis("gang"));
+        mPool.run(60_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("patient"));
+    }
+
+    @Test
+    void tasksThatSaveNothingAreNotPreempted() {
+        workers(1);
+        mPool.queue("patient", 2, 3, 1);
+        mPool.submit(workflow("patient", "patient", step(4, 1_000, 2_000, false)));
+        mPool.run(500);
+        mPool.submit(workflow("gang", "batch", step(2, 2_000, 500, true)));
+        mPool.run(6_000);
+        assertEquals(6, mPool.starts());
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("gang"));
+    }
+
+    private static StepSpec saving(StepSpec step) {
+        return new StepSpec(
+                step.taskCount(),
+                step.room(),
+                step.estimateMillis(),
+                step.after(),
+                step.gang(),
+                step.limits(),
+                new StepSpec.Habits(true, false, false, false, 0, "", 0));
+    }
+
     @Test
     void aCancelledWorkflowLeavesItsRoom() {
         workers(1);
