Hand the pools over only when all is durable, and read less at a takeover

Cause: a planned stop released the owner's row beside an open commit, which failed, so that the pools had no owner for 2.1 s at each stop; a new owner read the specifications of all workflows ever accepted (4 MB over the region's link, 1.4 s); and while the store was slow, eight partitions of the jobs queued for over a second and answered 429. Change: the release is the last commit of the same pipeline; rows of workflows that are over shrink to a byte; partitions are 32 and read side by side; a busy store is asked again within the caller's time; the stagger follows the fastest write seen.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.LongConsumer;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.transport.PartitionTable;
@@ -28,6 +29,7 @@
     private final String mPartition;
     private final Tasks mThread;
     private final MonotonicClock mClock;
+    private final LongConsumer mRoundTrip;
     private final List<Job> mWaiting = new ArrayList<>();
     private boolean mBusy;
 
@@ -46,7 +48,18 @@
         }
     }
 
-    JobWriter(PartitionTable table, String partition, Tasks thread, MonotonicClock clock) {
+    /**
+     * Creates a writer.
+     *
+     * @param roundTrip hears how long a call to the store takes, in milliseconds
+     */
+    JobWriter(
+            PartitionTable table,
+            String partition,
+            Tasks thread,
+            MonotonicClock clock,
+            LongConsumer roundTrip) {
+        mRoundTrip = roundTrip;
         mTable = table;
         mPartition = partition;
         mThread = thread;
@@ -83,6 +96,7 @@
 
     private void send(List<Job> group) {
         mBusy = true;
+        long sentMillis = mClock.millis();
         PartitionTable.Batch batch = new PartitionTable.Batch(mPartition);
         for (Job job : group) {
             batch.check(Tables.JOBS, job.mKey, PartitionTable.ABSENT);
@@ -90,7 +104,14 @@
         }
         CompletableFuture<Void> unused =
                 mTable.commit(batch)
-                .thenAccept(result -> mThread.execute(() -> answered(group, result)));
+                .thenAccept(
+                                result ->
+                                        mThread.execute(
+                                                () -> {
+                                                    mRoundTrip.accept(
+                                                            mClock.millis() - sentMillis);
+                                                    answered(group, result);
+                                                }));
     }
 
     private void answered(
@@ -105,7 +126,7 @@
         switch (failure.error().kind()) {
             case CONFLICT -> conflicting(group, failure.current());
             case UNKNOWN -> again(group, true, failure.error());
-            case UNAVAILABLE -> again(group, false, failure.error());
+            case UNAVAILABLE, BUSY -> again(group, false, failure.error());
         }
     }
 
@@ -134,9 +155,10 @@
         for (Job job : group) {
             job.mOpen |= unknown;
             boolean late = nowMillis - job.mSinceMillis > GIVE_UP_MILLIS;
+            boolean wait = job.mOpen || error.kind() == TableError.Kind.BUSY;
             if (job.mOpen && late) {
                 job.mResult.complete(SubmitResult.open("table: " + error.message()));
-            } else if (job.mOpen) {
+            } else if (wait && !late) {
                 left.add(job);
             } else {
                 job.mResult.complete(
@@ -144,7 +166,7 @@
             }
         }
         mWaiting.addAll(0, left);
-        mThread.later(this::pump, RETRY_MILLIS);
+        mThread.later(this::pump, RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_MILLIS));
     }
 
     // Spread, so that refused callers do not come back together.
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
@@ -53,6 +53,7 @@
     private long mVersion;
     private boolean mBusy;
     private boolean mClosed;
+    private boolean mReleasing;
     private long mConfirmedMillis;
     private long mLoadMillis;
     private Map<String, Integer> mLoad = Map.of();
@@ -70,6 +71,9 @@
 
         /** Another daemon is owner. */
         void lost(String reason);
+
+        /** The ownership was given up, and what was decided before is durable. */
+        void released();
     }
 
     /** Rows of one transaction and what waits for it. */
@@ -137,7 +141,7 @@
     /** Commits if anything waits and no transaction is open. */
     void pump() {
         boolean due = mClock.millis() - mConfirmedMillis >= BEAT_MILLIS;
-        if (mBusy || mClosed || (mChanged.isEmpty() && !due)) {
+        if (mBusy || mClosed || (mChanged.isEmpty() && !due && !mReleasing)) {
             return;
         }
         send(nextGroup());
@@ -145,23 +149,8 @@
 
     /** Gives the ownership up with the last transaction. */
     void release() {
-        PartitionTable.Batch batch = new PartitionTable.Batch(Tables.POOLS);
-        OwnerRow row = mRow.release();
-        batch.check(Tables.STATES, Tables.OWNER, mVersion);
-        batch.put(Tables.STATES, Tables.OWNER, MessageCodec.encode(row));
-        mClosed = true;
-        CompletableFuture<Void> unused =
-                mTable.commit(batch)
-                .thenAccept(
-                        done ->
-                                LOG.log(
-                                        LogEvent.POOLS_LOST,
-                                        row.epoch(),
-                                        "released " + done.isRight()));
-    }
-
-    boolean isBusy() {
-        return mBusy;
+        mReleasing = true;
+        pump();
     }
 
     private Group nextGroup() {
@@ -180,7 +169,7 @@
         }
         mStarts = later;
         PartitionTable.Batch batch = new PartitionTable.Batch(Tables.POOLS);
-        OwnerRow row = mRow.next();
+        OwnerRow row = mReleasing && mChanged.isEmpty() ? mRow.release() : mRow.next();
         batch.check(Tables.STATES, Tables.OWNER, mVersion);
         batch.put(Tables.STATES, Tables.OWNER, MessageCodec.encode(row));
         Map<String, WorkflowState> states = new HashMap<>();
@@ -268,6 +257,11 @@
         mRow = group.row();
         mVersion = version;
         mConfirmedMillis = group.sentMillis();
+        if (mRow.released()) {
+            mClosed = true;
+            mListener.released();
+            return;
+        }
         mDurableEnds.putAll(group.ends());
         mListener.release(group.starts());
         mListener.shown(group.states());
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -48,6 +48,7 @@
     private final Map<String, WorkflowRow> mRestored = new HashMap<>();
     private final Set<String> mSeenCancels = new HashSet<>();
     private final MonotonicClock mClock;
+    private final OverWorkflows mOver;
     private volatile boolean mOpen;
     private boolean mRowsRead;
     private boolean mWorkersRead;
@@ -113,6 +114,7 @@
                                 JOBS_WAIT_MILLIS,
                                 JOBS_PAUSE_MILLIS),
                         new JobRows());
+        mOver = new OverWorkflows(ports.table(), mClock);
         mWorkers =
                 new TableFollower(
                         ports.table(),
@@ -147,16 +149,15 @@
         mThread.stop(STOP_MILLIS);
     }
 
-    /** Gives the ownership up and stops. */
+    /** Gives the ownership up once what was decided is durable; decides nothing more. */
     void release() {
         mThread.execute(
                 () -> {
                     if (!mClosed) {
+                        mOpen = false;
                         mCommits.release();
-                        close();
                     }
                 });
-        mThread.stop(STOP_MILLIS);
     }
 
     /** Returns the epoch of this ownership. */
@@ -198,6 +199,7 @@
             return;
         }
         mApprovals.ping();
+        mOver.pump();
         if (mOpen) {
             mScheduler.tick(mClock.millis(), System.currentTimeMillis());
         }
@@ -299,7 +301,8 @@
         public void row(PartitionTable.Entry entry) {
             byte[] value = entry.value();
             String key = entry.key().name();
-            if (value == null) {
+            boolean over = value != null && Tables.isOver(value) && !Tables.isCancel(key);
+            if (value == null || over) {
                 return;
             }
             if (Tables.isCancel(key)) {
@@ -394,6 +397,12 @@
         @Override
         public void shown(Map<String, WorkflowState> states) {
             mOwnership.shown(states);
+            states.forEach(
+                    (id, state) -> {
+                        if (state.isFinal()) {
+                            mOver.add(id);
+                        }
+                    });
         }
 
         @Override
@@ -415,5 +424,10 @@
         public void lost(String reason) {
             PoolOwner.this.lost(reason);
         }
+
+        @Override
+        public void released() {
+            PoolOwner.this.lost("released");
+        }
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
@@ -1,6 +1,7 @@
 package org.hyssoprouter.daemon.workflow;
 
 import io.vavr.control.Either;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
@@ -21,6 +22,7 @@
     private static final EventLogger LOG = EventLogger.of(TableFollower.class);
     private static final int PAGE_ROWS = 500;
     private static final long RETRY_MILLIS = 150;
+    private static final char FIRST_AFTER = '\0';
 
     private final PartitionTable mTable;
     private final Subject mSubject;
@@ -99,38 +101,40 @@
 
     /** Returns the version up to which all is known, or -1 after a failure. */
     private long readAll() throws InterruptedException {
-        long version = -1;
-        long storeMillis = -1;
-        boolean first = true;
-        for (String partition : mSubject.partitions()) {
-            String from = "";
-            while (true) {
-                PartitionTable.Range range =
-                        new PartitionTable.Range(mSubject.table(), partition, from, "", PAGE_ROWS);
-                Either<TableError, PartitionTable.Page> read = await(mTable.read(range));
-                if (read.isLeft()) {
-                    failed(read.getLeft());
-                    return -1;
-                }
+        List<CompletableFuture<Either<TableError, PartitionTable.Page>>> first = new ArrayList<>();
+        mSubject.partitions().forEach(partition -> first.add(mTable.read(range(partition, ""))));
+        List<PartitionTable.Page> pages = new ArrayList<>();
+        long version = Long.MAX_VALUE;
+        long storeMillis = Long.MAX_VALUE;
+        for (int i = 0; i < first.size(); i++) {
+            Either<TableError, PartitionTable.Page> read = await(first.get(i));
+            while (read.isRight()) {
                 PartitionTable.Page page = read.get();
-                if (first) {
-                    mListener.reset();
-                    version = page.version();
-                    storeMillis = page.storeMillis();
-                    first = false;
-                }
-                page.entries().forEach(mListener::row);
+                pages.add(page);
+                version = Math.min(version, page.version());
+                storeMillis = Math.min(storeMillis, page.storeMillis());
                 if (!page.more() || page.entries().isEmpty()) {
                     break;
                 }
-                from = page.entries().get(page.entries().size() - 1).key().name() + '\0';
+                String last = page.entries().get(page.entries().size() - 1).key().name();
+                read = await(mTable.read(range(mSubject.partitions().get(i), last + FIRST_AFTER)));
+            }
+            if (read.isLeft()) {
+                failed(read.getLeft());
+                return -1;
             }
         }
+        mListener.reset();
+        pages.forEach(page -> page.entries().forEach(mListener::row));
         answered(version);
         mListener.synced(version, storeMillis);
         return version;
     }
 
+    private PartitionTable.Range range(String partition, String from) {
+        return new PartitionTable.Range(mSubject.table(), partition, from, "", PAGE_ROWS);
+    }
+
     private long readChanges(long version) throws InterruptedException {
         Either<TableError, PartitionTable.Page> read =
                 await(mTable.changes(mSubject.table(), version, mSubject.waitMillis()));
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Tables.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Tables.java
@@ -28,8 +28,14 @@
     /** Key of the row with the owner's load. */
     static final String LOAD = "!load";
 
-    /** Partitions of the jobs: one takes 200 transactions a second, entries make some tens. */
-    private static final int JOB_PARTITIONS = 8;
+    /**
+     * Partitions of the jobs. One takes 200 transactions a second, but three while the store is slow,
+     * when all entries together write some forty.
+     */
+    private static final int JOB_PARTITIONS = 32;
+
+    /** What is left of the row of a workflow that is over: a repeat of its submission finds it. */
+    static final byte[] OVER = {0};
 
     private static final String CANCEL_SUFFIX = "!cancel";
 
@@ -51,6 +57,10 @@
         return id + CANCEL_SUFFIX;
     }
 
+    static boolean isOver(byte[] value) {
+        return value.length == OVER.length;
+    }
+
     static boolean isCancel(String key) {
         return key.endsWith(CANCEL_SUFFIX);
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -89,7 +89,9 @@
                         ports.clock(),
                         mElection::roundTrip);
         mStates = new WorkflowStates(ports.table(), new OwnerRows(), ports.clock());
-        mEntry = new WorkflowEntry(ports.table(), mStates, mThread, ports.clock());
+        mEntry =
+                new WorkflowEntry(
+                        ports.table(), mStates, mThread, ports.clock(), mElection::roundTrip);
     }
 
     private static long spreadMillis(String name) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.LongConsumer;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.daemon.ownership.Tasks;
@@ -27,12 +28,16 @@
     private final Map<String, JobWriter> mWriters = new HashMap<>();
 
     WorkflowEntry(
-            PartitionTable table, WorkflowStates states, Tasks thread, MonotonicClock clock) {
+            PartitionTable table,
+            WorkflowStates states,
+            Tasks thread,
+            MonotonicClock clock,
+            LongConsumer roundTrip) {
         mTable = table;
         mStates = states;
         mClock = clock;
         for (String partition : Tables.jobPartitions()) {
-            mWriters.put(partition, new JobWriter(table, partition, thread, clock));
+            mWriters.put(partition, new JobWriter(table, partition, thread, clock, roundTrip));
         }
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/TableError.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/TableError.java
@@ -17,10 +17,17 @@
         CONFLICT,
         /** The service refused or was not reached; nothing was written. */
         UNAVAILABLE,
+        /** The service has too much to do just now; nothing was written. */
+        BUSY,
         /** The reply was lost; the write may have taken effect, now or later. */
         UNKNOWN
     }
 
+    /** Returns whether it is certain that nothing was written, and no check failed. */
+    public boolean isWithoutEffect() {
+        return kind == Kind.UNAVAILABLE || kind == Kind.BUSY;
+    }
+
     /** Returns a conflict on {@code key}. */
     public static TableError conflict(String key) {
         return new TableError(Kind.CONFLICT, key, "version of " + key + " has changed");
@@ -31,6 +38,11 @@
         return new TableError(Kind.UNAVAILABLE, null, message);
     }
 
+    /** Returns a failure for want of capacity, without effect. */
+    public static TableError busy(String message) {
+        return new TableError(Kind.BUSY, null, message);
+    }
+
     /** Returns a failure with an unknown effect. */
     public static TableError unknown(String message) {
         return new TableError(Kind.UNKNOWN, null, message);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/CommitLane.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/CommitLane.java
@@ -112,7 +112,7 @@
         @Override
         public void settle(Either<TableError, Committed> outcome) {
             boolean isRetry =
-                    outcome.isLeft() && outcome.getLeft().kind() == TableError.Kind.UNAVAILABLE;
+                    outcome.isLeft() && outcome.getLeft().isWithoutEffect();
             if (isRetry) {
                 putBack(this);
                 return;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/GroupWriter.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/GroupWriter.java
@@ -175,7 +175,7 @@
         return switch (error.kind()) {
             case CONFLICT -> refused(error);
             case UNKNOWN -> replyLost();
-            case UNAVAILABLE -> unavailable(error);
+            case UNAVAILABLE, BUSY -> unavailable(error);
         };
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/Journal.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/Journal.java
@@ -181,7 +181,7 @@
             return;
         }
         TableError error = outcome.getLeft();
-        if (error.kind() == TableError.Kind.UNAVAILABLE) {
+        if (error.isWithoutEffect()) {
             putBack(part);
             return;
         }
