--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
@@ -55,6 +56,7 @@
     private final Tasks mThread;
     private final MonotonicClock mClock;
     private final Runnable mAnswered;
+    private final WorkflowMeters mMeters;
     private final List<ApprovalRequest> mWaiting = new ArrayList<>();
     private final Map<String, Lane> mLanes = new HashMap<>();
     private boolean mClosed;
@@ -84,7 +86,9 @@
             PoolScheduler scheduler,
             Tasks thread,
             MonotonicClock clock,
-            Runnable answered) {
+            Runnable answered,
+            WorkflowMeters meters) {
+        mMeters = meters;
         mMembers = members;
         mCalls = calls;
         mScheduler = scheduler;
@@ -215,6 +219,7 @@
             return;
         }
         long nowMillis = mClock.millis();
+        mMeters.approved(result.isRight() ? "answered" : "failed", nowMillis - sentMillis);
         String approved =
                 result.fold(CallError::message, it -> Integer.toString(it.tickets().size()));
         LOG.log(
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
@@ -45,6 +46,7 @@
     private final Tasks mThread;
     private final MonotonicClock mClock;
     private final Listener mListener;
+    private final WorkflowMeters mMeters;
     private final Set<String> mChanged = new LinkedHashSet<>();
     private final Map<String, WorkflowState> mShown = new HashMap<>();
     private final Map<String, PoolScheduler.EndMark> mDurableEnds = new HashMap<>();
@@ -90,7 +92,9 @@
             PoolScheduler scheduler,
             Tasks thread,
             MonotonicClock clock,
-            Listener listener) {
+            Listener listener,
+            WorkflowMeters meters) {
+        mMeters = meters;
         mTable = table;
         mScheduler = scheduler;
         mThread = thread;
@@ -213,6 +217,8 @@
 
     private void answered(
             Group group, Either<PartitionTable.Failure, PartitionTable.Committed> result) {
+        String outcome = result.fold(failure -> failure.error().kind().name(), it -> "DONE");
+        mMeters.committed(outcome, mClock.millis() - group.sentMillis());
         if (mClosed) {
             return;
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.daemon.ownership.TaskThread;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.TableError;
@@ -63,7 +64,8 @@
             WorkerSource workers,
             Members members,
             ApprovalDispatcher.ApprovalCalls approvals,
-            MonotonicClock clock) {}
+            MonotonicClock clock,
+            WorkflowMeters meters) {}
 
     /** Hears of the ownership. */
     interface Ownership {
@@ -80,7 +82,7 @@
         mClock = ports.clock();
         mScheduler = new PoolScheduler(settings.limits(), mClock.millis());
         Events events = new Events();
-        mCommits = new OwnerCommits(ports.table(), mScheduler, mThread, mClock, events);
+        mCommits = new OwnerCommits(ports.table(), mScheduler, mThread, mClock, events, ports.meters());
         mPolls =
                 new WorkerPolls(
                         mScheduler,
@@ -90,7 +92,7 @@
                         mClock,
                         settings.limits(),
                         events);
-        mOrders = new RunOrders(mScheduler, ports.runner(), mThread, mClock, events);
+        mOrders = new RunOrders(mScheduler, ports.runner(), mThread, mClock, events, ports.meters());
         mApprovals =
                 new ApprovalDispatcher(
                         ports.members(),
@@ -98,7 +100,8 @@
                         mScheduler,
                         mThread,
                         mClock,
-                        this::pumpSoon);
+                        this::pumpSoon,
+                        ports.meters());
         mRows =
                 new TableFollower(
                         ports.table(),
@@ -222,19 +225,25 @@
             return;
         }
         if (mOpen) {
+            long startNanos = System.nanoTime();
             mScheduler.place(mClock.millis());
+            mPorts.meters().placed(System.nanoTime() - startNanos);
         }
         Effects effects = mScheduler.effects();
         mCommits.add(effects.takeChanged(), effects.takeStarts());
         effects.takeStops().forEach(stop -> mOrders.stop(stop, mCommits.epoch()));
         mApprovals.add(effects.takeApprovals());
-        effects.takeDecisions()
-                .forEach(d -> LOG.log(LogEvent.DECISION, d.subject(), d.what(), d.inputs()));
+        effects.takeDecisions().forEach(this::report);
         mApprovals.pump();
         mCommits.pump();
         mPolls.pump();
     }
 
+    private void report(Effects.Decision decision) {
+        mPorts.meters().decided(decision.what());
+        LOG.log(LogEvent.DECISION, decision.subject(), decision.what(), decision.inputs());
+    }
+
     private void readJobsIfRead() {
         if (!mJobsStarted && mRowsRead && mWorkersRead) {
             mJobsStarted = true;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunOrders.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunOrders.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.lib.workflow.StartOutcome;
@@ -24,6 +25,7 @@
     private final Tasks mThread;
     private final MonotonicClock mClock;
     private final Listener mListener;
+    private final WorkflowMeters mMeters;
     private volatile boolean mClosed;
 
     /** Hears of answers. */
@@ -40,7 +42,9 @@
             TaskRunner runner,
             Tasks thread,
             MonotonicClock clock,
-            Listener listener) {
+            Listener listener,
+            WorkflowMeters meters) {
+        mMeters = meters;
         mScheduler = scheduler;
         mRunner = runner;
         mThread = thread;
@@ -67,6 +71,7 @@
     }
 
     private void answered(TaskStart order, long epoch, int attempt, StartOutcome outcome) {
+        mMeters.started(outcome.name());
         if (mClosed) {
             return;
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.daemon.ownership.TaskThread;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.CallError;
@@ -67,6 +68,7 @@
      * @param approvals approval service
      * @param peers other daemons
      * @param clock steady clock
+     * @param meters counters and histograms
      */
     public record Ports(
             PartitionTable table,
@@ -74,7 +76,8 @@
             WorkerSource workers,
             ApprovalService approvals,
             PeerTransport peers,
-            MonotonicClock clock) {}
+            MonotonicClock clock,
+            WorkflowMeters meters) {}
 
     /** Creates a daemon that does nothing before {@link #start()}. */
     public WorkflowDaemon(Ports ports, WorkflowSettings settings) {
@@ -91,7 +94,10 @@
         mStates = new WorkflowStates(ports.table(), new OwnerRows(), ports.clock());
         mEntry =
                 new WorkflowEntry(
-                        ports.table(), mStates, mThread, ports.clock(), mElection::roundTrip);
+                        new WorkflowEntry.Ports(
+                                ports.table(), mThread, ports.clock(), ports.meters()),
+                        mStates,
+                        mElection::roundTrip);
     }
 
     private static long spreadMillis(String name) {
@@ -267,7 +273,8 @@
                         mPorts.workers(),
                         mMembers,
                         new ApprovalsByPeers(),
-                        mPorts.clock());
+                        mPorts.clock(),
+                        mPorts.meters());
         PoolOwner owner = new PoolOwner(ports, mSettings, new Ownership());
         mOwner = owner;
         owner.begin(row, version, mConfig);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
@@ -8,6 +8,7 @@
 import java.util.function.LongConsumer;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.lib.Verdict;
@@ -25,19 +26,20 @@
     private final PartitionTable mTable;
     private final WorkflowStates mStates;
     private final MonotonicClock mClock;
+    private final WorkflowMeters mMeters;
     private final Map<String, JobWriter> mWriters = new HashMap<>();
 
-    WorkflowEntry(
-            PartitionTable table,
-            WorkflowStates states,
-            Tasks thread,
-            MonotonicClock clock,
-            LongConsumer roundTrip) {
-        mTable = table;
+    /** What an entry needs of the daemon. */
+    record Ports(PartitionTable table, Tasks thread, MonotonicClock clock, WorkflowMeters meters) {}
+
+    WorkflowEntry(Ports ports, WorkflowStates states, LongConsumer roundTrip) {
+        mTable = ports.table();
         mStates = states;
-        mClock = clock;
+        mClock = ports.clock();
+        mMeters = ports.meters();
         for (String partition : Tables.jobPartitions()) {
-            mWriters.put(partition, new JobWriter(table, partition, thread, clock, roundTrip));
+            mWriters.put(partition, new JobWriter(
+                            mTable, partition, ports.thread(), mClock, roundTrip));
         }
     }
 
@@ -50,6 +52,10 @@
         return write(spec.id(), spec.id(), MessageCodec.encode(spec))
                 .thenApply(
                         result -> {
+                            mMeters.submitted(
+                                    spec.queue(),
+                                    result.verdict().name(),
+                                    mClock.millis() - startMillis);
                             if (result.verdict() == Verdict.RAN) {
                                 mStates.note(spec.id(), WorkflowState.PENDING);
                                 LOG.log(
