--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ReloadSignal.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ReloadSignal.java
@@ -6,8 +6,8 @@
 import org.hyssoprouter.daemon.log.LogEvent;
 
 /**
- * Calls a task at each SIGHUP, which would end the process otherwise. The JVM has no public interface
- * for signals, so that its own one is reached by reflection.
+ * Calls a task at each SIGHUP, which would end the process otherwise. The JVM has no public
+ * interface for signals, so that its own one is reached by reflection.
  *
  * @since 0.2
  */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
@@ -7,8 +7,8 @@
 import java.time.Duration;
 
 /**
- * Counters and histograms of workflows on this daemon. Labels are bounded: queues share the limit of
- * customers' labels, all others are fixed words.
+ * Counters and histograms of workflows on this daemon. Labels are bounded: queues share the limit
+ * of customers' labels, all others are fixed words.
  *
  * @since 0.2
  */
@@ -68,10 +68,7 @@
     }
 
     private Timer timer(String name, String... tags) {
-        return Timer.builder(name)
-                .tags(tags)
-                .serviceLevelObjectives(BUCKETS)
-                .register(mRegistry);
+        return Timer.builder(name).tags(tags).serviceLevelObjectives(BUCKETS).register(mRegistry);
     }
 
     private Counter counter(String name, String... tags) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -204,8 +204,7 @@
                                                 () -> {
                                                     lane.mOpen -= weight;
                                                     answered(
-                                                            request, via, lane, result,
-                                                            sentMillis);
+                                                            request, via, lane, result, sentMillis);
                                                 }));
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
@@ -79,8 +79,7 @@
 
     /** Returns the time for which this daemon lets others go first. */
     synchronized long staggerMillis() {
-        return mSpreadMillis
-                + Math.min(MAX_STAGGER_MILLIS, mRoundTripMillis * STAGGER_ROUND_TRIPS);
+        return mSpreadMillis + Math.min(MAX_STAGGER_MILLIS, mRoundTripMillis * STAGGER_ROUND_TRIPS);
     }
 
     private boolean isFormerSelf(OwnerRow row) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
@@ -104,12 +104,11 @@
         }
         CompletableFuture<Void> unused =
                 mTable.commit(batch)
-                .thenAccept(
+                        .thenAccept(
                                 result ->
                                         mThread.execute(
                                                 () -> {
-                                                    mRoundTrip.accept(
-                                                            mClock.millis() - sentMillis);
+                                                    mRoundTrip.accept(mClock.millis() - sentMillis);
                                                     answered(group, result);
                                                 }));
     }
@@ -166,7 +165,8 @@
             }
         }
         mWaiting.addAll(0, left);
-        mThread.later(this::pump, RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_MILLIS));
+        mThread.later(
+                this::pump, RETRY_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_MILLIS));
     }
 
     // Spread, so that refused callers do not come back together.
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
@@ -179,7 +179,8 @@
         Map<String, WorkflowState> states = new HashMap<>();
         ids.forEach(id -> mScheduler.row(id).forEach(it -> put(batch, id, it, states)));
         putLoad(batch);
-        Map<String, PoolScheduler.EndMark> ends = mChanged.isEmpty() ? mScheduler.endsSeen() : Map.of();
+        Map<String, PoolScheduler.EndMark> ends =
+                mChanged.isEmpty() ? mScheduler.endsSeen() : Map.of();
         return new Group(batch, row, starts, states, ends, mClock.millis());
     }
 
@@ -211,8 +212,8 @@
     private void send(Group group) {
         mBusy = true;
         CompletableFuture<Void> unused =
-        mTable.commit(group.batch())
-                .thenAccept(result -> mThread.execute(() -> answered(group, result)));
+                mTable.commit(group.batch())
+                        .thenAccept(result -> mThread.execute(() -> answered(group, result)));
     }
 
     private void answered(
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -82,7 +82,9 @@
         mClock = ports.clock();
         mScheduler = new PoolScheduler(settings.limits(), mClock.millis());
         Events events = new Events();
-        mCommits = new OwnerCommits(ports.table(), mScheduler, mThread, mClock, events, ports.meters());
+        mCommits =
+                new OwnerCommits(
+                        ports.table(), mScheduler, mThread, mClock, events, ports.meters());
         mPolls =
                 new WorkerPolls(
                         mScheduler,
@@ -92,7 +94,8 @@
                         mClock,
                         settings.limits(),
                         events);
-        mOrders = new RunOrders(mScheduler, ports.runner(), mThread, mClock, events, ports.meters());
+        mOrders =
+                new RunOrders(mScheduler, ports.runner(), mThread, mClock, events, ports.meters());
         mApprovals =
                 new ApprovalDispatcher(
                         ports.members(),
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunOrders.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunOrders.java
@@ -64,10 +64,11 @@
     private void start(TaskStart order, long epoch, int attempt) {
         long deadlineMillis = mScheduler.leaseDeadline(order.workerId(), mClock.millis());
         CompletableFuture<Void> unused =
-        mRunner.start(order, deadlineMillis, epoch)
-                .thenAccept(
-                        outcome ->
-                                mThread.execute(() -> answered(order, epoch, attempt, outcome)));
+                mRunner.start(order, deadlineMillis, epoch)
+                        .thenAccept(
+                                outcome ->
+                                        mThread.execute(
+                                                () -> answered(order, epoch, attempt, outcome)));
     }
 
     private void answered(TaskStart order, long epoch, int attempt, StartOutcome outcome) {
@@ -92,13 +93,14 @@
 
     void stop(TaskStop order, long epoch) {
         CompletableFuture<Void> unused =
-        mRunner.stop(order, epoch)
-                .thenAccept(
-                        done ->
-                                mThread.execute(
-                                        () -> {
-                                            mScheduler.stopped(order, done, mClock.millis());
-                                            mListener.answered();
-                                        }));
+                mRunner.stop(order, epoch)
+                        .thenAccept(
+                                done ->
+                                        mThread.execute(
+                                                () -> {
+                                                    mScheduler.stopped(
+                                                            order, done, mClock.millis());
+                                                    mListener.answered();
+                                                }));
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Tables.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Tables.java
@@ -29,8 +29,8 @@
     static final String LOAD = "!load";
 
     /**
-     * Partitions of the jobs. One takes 200 transactions a second, but three while the store is slow,
-     * when all entries together write some forty.
+     * Partitions of the jobs. One takes 200 transactions a second, but three while the store is
+     * slow, when all entries together write some forty.
      */
     private static final int JOB_PARTITIONS = 32;
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
@@ -78,8 +78,8 @@
     }
 
     /**
-     * Begins to ask workers. Before all workflows are known, an end or run of an unknown one would be
-     * dropped for good.
+     * Begins to ask workers. Before all workflows are known, an end or run of an unknown one would
+     * be dropped for good.
      */
     void open() {
         mOpen = true;
@@ -135,16 +135,15 @@
                         deadlineMillis,
                         first || pending ? 0 : waitMillis);
         CompletableFuture<Void> unused =
-        mRunner.renew(worker.id(), worker.address(), renewal)
-                .thenAccept(
-                        result -> mThread.execute(() -> answered(worker, poll, result, sentMillis)));
+                mRunner.renew(worker.id(), worker.address(), renewal)
+                        .thenAccept(
+                                result ->
+                                        mThread.execute(
+                                                () -> answered(worker, poll, result, sentMillis)));
     }
 
     private void answered(
-            WorkerEntry worker,
-            Poll poll,
-            Either<CallError, RunReport> result,
-            long sentMillis) {
+            WorkerEntry worker, Poll poll, Either<CallError, RunReport> result, long sentMillis) {
         if (!mOpen) {
             return;
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -11,7 +11,6 @@
 import org.hyssoprouter.daemon.ownership.TaskThread;
 import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.CallError;
-import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.lib.workflow.ApprovalRequest;
 import org.hyssoprouter.lib.workflow.Approvals;
@@ -112,8 +111,7 @@
     /** Returns whether this daemon can serve callers: the store has answered it lately. */
     public boolean isServing() {
         long answeredMillis = mStates.answeredMillis();
-        return answeredMillis >= 0
-                && mPorts.clock().millis() - answeredMillis < SERVING_MILLIS;
+        return answeredMillis >= 0 && mPorts.clock().millis() - answeredMillis < SERVING_MILLIS;
     }
 
     @Override
@@ -246,9 +244,9 @@
         batch.check(Tables.STATES, Tables.OWNER, former.isEmpty() ? 0 : version);
         batch.put(Tables.STATES, Tables.OWNER, MessageCodec.encode(row));
         CompletableFuture<Void> unused =
-        mPorts.table()
-                .commit(batch)
-                .thenAccept(result -> mThread.execute(() -> elected(row, former, result)));
+                mPorts.table()
+                        .commit(batch)
+                        .thenAccept(result -> mThread.execute(() -> elected(row, former, result)));
     }
 
     private void elected(
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
@@ -38,8 +38,8 @@
         mClock = ports.clock();
         mMeters = ports.meters();
         for (String partition : Tables.jobPartitions()) {
-            mWriters.put(partition, new JobWriter(
-                            mTable, partition, ports.thread(), mClock, roundTrip));
+            mWriters.put(
+                    partition, new JobWriter(mTable, partition, ports.thread(), mClock, roundTrip));
         }
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/CommitLane.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/CommitLane.java
@@ -111,8 +111,7 @@
 
         @Override
         public void settle(Either<TableError, Committed> outcome) {
-            boolean isRetry =
-                    outcome.isLeft() && outcome.getLeft().isWithoutEffect();
+            boolean isRetry = outcome.isLeft() && outcome.getLeft().isWithoutEffect();
             if (isRetry) {
                 putBack(this);
                 return;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Effects.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Effects.java
@@ -9,8 +9,8 @@
 import org.hyssoprouter.lib.workflow.TaskStop;
 
 /**
- * What decisions ask for. Starts wait until the rows of the changed workflows are durable; stops and
- * requests for approval go out at once.
+ * What decisions ask for. Starts wait until the rows of the changed workflows are durable; stops
+ * and requests for approval go out at once.
  *
  * @since 0.2
  */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -183,15 +183,12 @@
         step.dropReservations();
         plan.values().forEach(worker -> step.mReserved.merge(worker, 1, Integer::sum));
         Room room = roomOf(step.mSpec);
-        step.mReserved.forEach(
-                (worker, count) -> worker.mReserved.put(step, times(room, count)));
+        step.mReserved.forEach((worker, count) -> worker.mReserved.put(step, times(room, count)));
     }
 
     private static Room times(Room room, int count) {
         return new Room(
-                room.cpuMillis() * count,
-                room.memoryBytes() * count,
-                room.accelerators() * count);
+                room.cpuMillis() * count, room.memoryBytes() * count, room.accelerators() * count);
     }
 
     /** Keeps later steps off the workers on which a gang will fit soonest. */
@@ -245,8 +242,7 @@
         return plan;
     }
 
-    private static @Nullable PoolWorker choose(
-            Task task, Map<PoolWorker, Integer> slots) {
+    private static @Nullable PoolWorker choose(Task task, Map<PoolWorker, Integer> slots) {
         PoolWorker second = null;
         for (Map.Entry<PoolWorker, Integer> entry : slots.entrySet()) {
             if (entry.getValue() <= 0) {
@@ -268,15 +264,21 @@
         Map<String, Long> racks = new HashMap<>();
         if (step.mSpec.limits().sameRack()) {
             for (PoolWorker worker : workers) {
-                racks.merge(worker.entry().rack(), (long) slots(step, worker, worker.freeFor(step)), Long::sum);
+                racks.merge(
+                        worker.entry().rack(),
+                        (long) slots(step, worker, worker.freeFor(step)),
+                        Long::sum);
             }
         }
         List<PoolWorker> ordered = new ArrayList<>(workers);
         ordered.sort(
                 Comparator.comparing((PoolWorker w) -> !w.entry().rack().equals(rack))
                         .thenComparing(w -> -racks.getOrDefault(w.entry().rack(), 0L))
-                        .thenComparing(w -> w.entry().rack().isEmpty() || racks.isEmpty()
-                                ? "" : w.entry().rack())
+                        .thenComparing(
+                                w ->
+                                        w.entry().rack().isEmpty() || racks.isEmpty()
+                                                ? ""
+                                                : w.entry().rack())
                         .thenComparingLong(w -> w.freeFor(step).cpuMillis()));
         return ordered;
     }
@@ -307,9 +309,7 @@
     /** Returns the room that a task takes; one that only fills takes no processor of its own. */
     static Room roomOf(StepSpec spec) {
         Room room = spec.room();
-        return spec.habits().fills()
-                ? new Room(0, room.memoryBytes(), room.accelerators())
-                : room;
+        return spec.habits().fills() ? new Room(0, room.memoryBytes(), room.accelerators()) : room;
     }
 
     private void assign(Step step, Map<Task, PoolWorker> plan) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -245,8 +245,7 @@
     /** Takes in an answer of the approval service. */
     public void approved(ApprovalRequest request, Approvals approvals, long nowMillis) {
         findStep(request.step())
-                .forEach(
-                        step -> step.mApprovals.answered(request.workers(), approvals, nowMillis));
+                .forEach(step -> step.mApprovals.answered(request.workers(), approvals, nowMillis));
     }
 
     /** Takes note that a request for approval got no answer. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -19,8 +19,10 @@
     final SchedulerLimits mLimits;
     final Map<String, Workflow> mWorkflows = new LinkedHashMap<>();
     final Map<String, PoolWorker> mWorkers = new LinkedHashMap<>();
+
     /** Steps whose turn has come and that have a task without a run. */
     final Set<Step> mWaiting = new LinkedHashSet<>();
+
     final Effects mEffects = new Effects();
     private final Map<String, QueuePolicy> mPolicies = new HashMap<>();
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -206,7 +206,9 @@
             return;
         }
         mState.mEffects.decided(
-                task.mKey, "run ended", "worker=" + worker + " run=" + end.run() + " " + end.kind());
+                task.mKey,
+                "run ended",
+                "worker=" + worker + " run=" + end.run() + " " + end.kind());
         boolean done = end.kind() == EndKind.DONE && !task.mStep.mSpec.habits().longRunning();
         if (done) {
             mTrust.succeeded(worker);
@@ -225,7 +227,10 @@
             if (usedUp(task, end.run())) {
                 task.leaveWorker(nowMillis);
                 mState.finish(
-                        workflow, WorkflowState.FAILED, task.mKey + " used its attempts", nowMillis);
+                        workflow,
+                        WorkflowState.FAILED,
+                        task.mKey + " used its attempts",
+                        nowMillis);
                 return;
             }
         }
@@ -285,8 +290,7 @@
             return;
         }
         for (Task member : task.mStep.mTasks) {
-            boolean up =
-                    member.mPhase == Task.Phase.RUNNING || member.mPhase == Task.Phase.PLACED;
+            boolean up = member.mPhase == Task.Phase.RUNNING || member.mPhase == Task.Phase.PLACED;
             if (!member.equals(task) && up) {
                 mState.stop(member, reason, nowMillis);
             }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -17,8 +17,10 @@
     final List<Task> mTasks = new ArrayList<>();
     final StepApprovals mApprovals = new StepApprovals();
     final Map<PoolWorker, Integer> mReserved = new HashMap<>();
+
     /** Workers on which a run of this step did not advance. */
     final Set<String> mAvoided = new HashSet<>();
+
     int mGangFailures;
     int mCountedGangRun;
     String mGangCheckpoint = "";
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerTrust.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerTrust.java
@@ -5,7 +5,9 @@
  * run fast, so that they look idle and would draw one task after the other.
  */
 final class WorkerTrust {
-    /** Failures in a row that a sound worker practically never has: 5% of runs fail by themselves. */
+    /**
+     * Failures in a row that a sound worker practically never has: 5% of runs fail by themselves.
+     */
     static final int FAILURES_TO_AVOID = 2;
 
     /** First time for which a failing worker gets nothing; doubles with each further failure. */
@@ -38,7 +40,8 @@
     }
 
     private void avoid(PoolWorker worker, String reason, long nowMillis) {
-        long millis = Math.min(LONGEST_AVOID_MILLIS, AVOID_MILLIS << Math.min(4, worker.mPenalties));
+        long millis =
+                Math.min(LONGEST_AVOID_MILLIS, AVOID_MILLIS << Math.min(4, worker.mPenalties));
         worker.mPenalties++;
         worker.mAvoidUntilMillis = Math.max(worker.mAvoidUntilMillis, nowMillis + millis);
         mState.mEffects.decided(worker.mId, "worker avoided", "millis=" + millis + " " + reason);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
@@ -65,11 +65,7 @@
     private static StepRow rowOf(Step step, List<TaskRow> tasks) {
         String checkpoint = step.mSpec.gang() ? step.mGangCheckpoint : "";
         return new StepRow(
-                step.mKey.occurrence(),
-                step.mKey.step(),
-                step.mGangFailures,
-                checkpoint,
-                tasks);
+                step.mKey.occurrence(), step.mKey.step(), step.mGangFailures, checkpoint, tasks);
     }
 
     private static List<TaskRow> tasksOf(Step step) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/workflow/StepSpec.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/workflow/StepSpec.java
@@ -31,8 +31,7 @@
      * @param preferredRack rack that holds the data, or empty
      * @param maxPerWorker most tasks of the step on one worker, 0 for no bound
      */
-    public record Limits(
-            boolean sameRack, String label, String preferredRack, int maxPerWorker) {
+    public record Limits(boolean sameRack, String label, String preferredRack, int maxPerWorker) {
         /** No limits. */
         public static final Limits NONE = new Limits(false, "", "", 0);
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/ApprovalService.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/ApprovalService.java
@@ -17,5 +17,6 @@
      *
      * @param timeoutMillis time after which no answer is awaited
      */
-    CompletableFuture<Either<CallError, Approvals>> ask(ApprovalRequest request, long timeoutMillis);
+    CompletableFuture<Either<CallError, Approvals>> ask(
+            ApprovalRequest request, long timeoutMillis);
 }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -46,8 +46,7 @@
     void dependentStepsRunOneAfterTheOther() {
         workers(2);
         mPool.submit(
-                workflow(
-                        "a", "batch", step(3, 1_000, 500, false), step(2, 1_000, 500, false, 0)));
+                workflow("a", "batch", step(3, 1_000, 500, false), step(2, 1_000, 500, false, 0)));
         mPool.run(3_000);
         assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
         assertTrue(mPool.tookMillis("a") >= 1_000, "took " + mPool.tookMillis("a"));
@@ -94,7 +93,7 @@
 
     @Test
     void runsOfACutOffWorkerWaitForTheirLease() {
-        SimulatedPool.SimulatedWorker worker = mPool.worker("w0", 4_000);
+        SimulatedWorker worker = mPool.worker("w0", 4_000);
         mPool.worker("w1", 4_000);
         mPool.submit(workflow("a", "batch", step(8, 1_000, 9_000, false)));
         mPool.run(1_000);
@@ -108,7 +107,7 @@
 
     @Test
     void aRestartedWorkerHasLostItsRuns() {
-        SimulatedPool.SimulatedWorker worker = mPool.worker("w0", 4_000);
+        SimulatedWorker worker = mPool.worker("w0", 4_000);
         mPool.submit(workflow("a", "batch", step(2, 1_000, 1_000, false)));
         mPool.run(600);
         worker.restart();
@@ -119,7 +118,7 @@
 
     @Test
     void aStartWithoutAnAnswerIsSettledBeforeTheTaskGoesElsewhere() {
-        SimulatedPool.SimulatedWorker worker = mPool.worker("w0", 4_000);
+        SimulatedWorker worker = mPool.worker("w0", 4_000);
         worker.dropAnswers(true);
         mPool.submit(workflow("a", "batch", step(3, 1_000, 400, false)));
         mPool.run(300);
@@ -165,7 +164,8 @@
         assertEquals(3, mPool.starts());
     }
 
-    // Load pattern: patient tasks keep the pool full, so that no room for a gang is ever free at once.
+    // Load pattern: patient tasks keep the pool full, so that no room for a gang is ever free at
+    // once.
     @Test
     void aWideUrgentGangDoesNotWaitForPatientTasks() {
         workers(4);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -10,26 +11,23 @@
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
-import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.ApprovalRequest;
 import org.hyssoprouter.lib.workflow.Approvals;
-import org.hyssoprouter.lib.workflow.EndKind;
 import org.hyssoprouter.lib.workflow.PoolConfig;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.StartOutcome;
-import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.TaskStop;
-import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.jspecify.annotations.Nullable;
 
 /**
  * A pool in virtual time: workers that run tasks, an approval service and durable rows, driven by a
- * {@link PoolScheduler}. It checks at each start that no worker is overfull, that no task runs twice
- * at a time and that none starts after its end.
+ * {@link PoolScheduler}. It checks at each start that no worker is overfull, that no task runs
+ * twice at a time and that none starts after its end.
  */
 final class SimulatedPool {
     static final String POOL = "pool";
@@ -87,7 +85,7 @@
     }
 
     SimulatedWorker worker(String id, long cpuMillis) {
-        SimulatedWorker worker = new SimulatedWorker(id, cpuMillis);
+        SimulatedWorker worker = new SimulatedWorker(this, id, cpuMillis);
         mWorkers.put(id, worker);
         mScheduler.listed(worker.entry(mNowMillis), mNowMillis);
         report(worker);
@@ -171,6 +169,26 @@
         return mNowMillis;
     }
 
+    Collection<SimulatedWorker> workers() {
+        return mWorkers.values();
+    }
+
+    Set<TaskKey> done() {
+        return mDone;
+    }
+
+    long epoch() {
+        return mEpoch;
+    }
+
+    void countStart() {
+        mStarts++;
+    }
+
+    @Nullable WorkflowSpec spec(String id) {
+        return mSpecs.get(id);
+    }
+
     private void tick() {
         mScheduler.tick(mNowMillis, mNowMillis);
         pump();
@@ -261,8 +279,7 @@
         PoolScheduler scheduler = mScheduler;
         if (!worker.isDown()) {
             long sentMillis = mNowMillis;
-            RunReport report =
-                    worker.report(scheduler.leaseDeadline(worker.mId, mNowMillis));
+            RunReport report = worker.report(scheduler.leaseDeadline(worker.mId, mNowMillis));
             at(
                     CALL_MILLIS,
                     () -> {
@@ -282,188 +299,4 @@
                     }
                 });
     }
-
-    /** A worker that starts whatever it is told to. */
-    final class SimulatedWorker {
-        private final String mId;
-        private final Room mCapacity;
-        private final Map<TaskKey, Run> mRuns = new TreeMap<>(Comparator.comparing(k -> "" + k));
-        private final Map<TaskKey, Integer> mBarred = new HashMap<>();
-        private final List<RunReport.Ended> mEnded = new ArrayList<>();
-        private boolean mDown;
-        private boolean mFails;
-        private boolean mStalls;
-        private boolean mDropsAnswers;
-        private double mSlowness = 1;
-        private long mSequence;
-        private long mToken;
-        private long mBornMillis = 1;
-        private long mDeadlineMillis;
-
-        SimulatedWorker(String id, long cpuMillis) {
-            mId = id;
-            mCapacity = new Room(cpuMillis, 1L << 40, 0);
-        }
-
-        private record Run(TaskStart order, StepSpec spec, long startMillis, long workMillis) {}
-
-        WorkerEntry entry(long nowMillis) {
-            return new WorkerEntry(
-                    mId, POOL, mId + ":1", "domain", "r1", List.of("a", "r1"), mCapacity, false, 0,
-                    nowMillis, mBornMillis);
-        }
-
-        boolean isDown() {
-            return mDown;
-        }
-
-        /** Cuts the worker off; its runs go on until their lease ends. */
-        void cut(boolean down) {
-            mDown = down;
-        }
-
-        void failEverything(boolean fails) {
-            mFails = fails;
-        }
-
-        void stallEverything(boolean stalls) {
-            mStalls = stalls;
-        }
-
-        void dropAnswers(boolean drops) {
-            mDropsAnswers = drops;
-        }
-
-        void slowDown(double factor) {
-            mSlowness = factor;
-        }
-
-        void restart() {
-            mRuns.clear();
-            mBarred.clear();
-            mEnded.clear();
-            mSequence = 0;
-            mToken = 0;
-            mBornMillis = mNowMillis + 1;
-        }
-
-        StartOutcome start(TaskStart order, long token, long deadlineMillis) {
-            if (token < mToken) {
-                return StartOutcome.FENCED;
-            }
-            mToken = token;
-            if (mRuns.containsKey(order.task())) {
-                mBreaches.add("twice on one worker: " + order.task());
-            }
-            if (order.run() <= mBarred.getOrDefault(order.task(), 0)) {
-                return StartOutcome.OLD_RUN;
-            }
-            WorkflowSpec workflow = mSpecs.get(order.task().step().workflow());
-            if (workflow == null) {
-                return StartOutcome.INVALID;
-            }
-            StepSpec spec = workflow.steps().get(order.task().step().step());
-            check(order, spec);
-            mStarts++;
-            mDeadlineMillis = Math.max(mDeadlineMillis, deadlineMillis);
-            long workMillis = (long) (spec.estimateMillis() * mSlowness);
-            Run run = new Run(order, spec, mNowMillis, workMillis);
-            mRuns.put(order.task(), run);
-            if (!mStalls) {
-                at(mFails ? workMillis / 10 : workMillis, () -> over(run));
-            }
-            return mDropsAnswers ? StartOutcome.UNKNOWN : StartOutcome.ACCEPTED;
-        }
-
-        private void check(TaskStart order, StepSpec spec) {
-            Room used = spec.room();
-            for (Run run : mRuns.values()) {
-                used = used.plus(run.spec().room());
-            }
-            if (!used.fitsIn(mCapacity)) {
-                mBreaches.add("overfull: " + mId + " by " + order.task());
-            }
-            if (mDone.contains(order.task())) {
-                mBreaches.add("started after its end: " + order.task());
-            }
-            for (SimulatedWorker other : mWorkers.values()) {
-                if (other != this && other.mRuns.containsKey(order.task())) {
-                    mBreaches.add("in two places: " + order.task());
-                }
-            }
-        }
-
-        private void over(Run run) {
-            if (!run.equals(mRuns.get(run.order().task()))) {
-                return;
-            }
-            if (mFails) {
-                end(run, EndKind.FAILED);
-                return;
-            }
-            if (run.spec().gang()) {
-                endGang(run);
-                return;
-            }
-            mDone.add(run.order().task());
-            end(run, EndKind.DONE);
-        }
-
-        private void endGang(Run run) {
-            for (SimulatedWorker worker : mWorkers.values()) {
-                for (Run member : new ArrayList<>(worker.mRuns.values())) {
-                    if (member.order().task().step().equals(run.order().task().step())) {
-                        mDone.add(member.order().task());
-                        worker.end(member, EndKind.DONE);
-                    }
-                }
-            }
-        }
-
-        private void end(Run run, EndKind kind) {
-            mRuns.remove(run.order().task());
-            mBarred.merge(run.order().task(), run.order().run(), Math::max);
-            mEnded.add(
-                    new RunReport.Ended(
-                            ++mSequence, run.order().task(), run.order().run(), kind, "saved"));
-        }
-
-        void stop(TaskStop stop) {
-            mBarred.merge(stop.task(), stop.run(), Math::max);
-            Run run = mRuns.get(stop.task());
-            if (run != null && run.order().run() == stop.run()) {
-                at(
-                        100,
-                        () -> {
-                            if (run.equals(mRuns.get(stop.task()))) {
-                                end(run, EndKind.STOPPED);
-                            }
-                        });
-            }
-        }
-
-        RunReport report(long deadlineMillis) {
-            mToken = mEpoch;
-            mDeadlineMillis = Math.max(mDeadlineMillis, deadlineMillis);
-            List<RunReport.Running> running = new ArrayList<>();
-            for (Run run : mRuns.values()) {
-                long percent = 100 * (mNowMillis - run.startMillis()) / (run.workMillis() + 1);
-                running.add(
-                        new RunReport.Running(
-                                run.order().task(),
-                                run.order().run(),
-                                "saved",
-                                mStalls ? 0 : (int) Math.min(99, percent),
-                                0));
-            }
-            return new RunReport(mNowMillis, mBornMillis, running, new ArrayList<>(mEnded));
-        }
-
-        /** Kills what runs without a lease; called by tests that cut workers off. */
-        void lapse() {
-            if (mNowMillis > mDeadlineMillis) {
-                new ArrayList<>(mRuns.values()).forEach(run -> end(run, EndKind.LAPSED));
-            }
-        }
-    }
 }
