--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Hyssopd.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Hyssopd.java
@@ -71,6 +71,7 @@
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
+        LogSetup.flush();
         Runtime.getRuntime().halt(stopping.isAlive() ? EXIT_FAULT : 0);
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogSetup.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogSetup.java
@@ -1,9 +1,7 @@
 package org.hyssoprouter.daemon.log;
 
-import java.io.PrintStream;
 import java.util.logging.Handler;
 import java.util.logging.Level;
-import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 
 /**
@@ -24,34 +22,13 @@
             root.removeHandler(handler);
         }
         root.setLevel(Level.INFO);
-        root.addHandler(new StreamLines(System.out));
+        root.addHandler(new QueuedLines(System.out, new LineFormatter()));
     }
 
-    /** Writes each record at once. Closing has no effect: a planned stop logs until the exit. */
-    private static final class StreamLines extends Handler {
-        private final PrintStream mOut;
-
-        StreamLines(PrintStream out) {
-            mOut = out;
-            setFormatter(new LineFormatter());
-        }
-
-        @Override
-        public void publish(LogRecord record) {
-            if (isLoggable(record)) {
-                mOut.print(getFormatter().format(record));
-                mOut.flush();
-            }
-        }
-
-        @Override
-        public void flush() {
-            mOut.flush();
-        }
-
-        @Override
-        public void close() {
-            mOut.flush();
+    /** Waits a bounded time until what was logged is written; called before the process ends. */
+    public static void flush() {
+        for (Handler handler : Logger.getLogger("").getHandlers()) {
+            handler.flush();
         }
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
@@ -39,6 +39,10 @@
     private static final int MAX_WORKFLOWS = 45;
 
     private static final long RETRY_MILLIS = 100;
+
+    /** Time between two lines on commits that are made again. */
+    private static final long RETRY_LOG_MILLIS = 1_000;
+
     private static final EventLogger LOG = EventLogger.of(OwnerCommits.class);
 
     private final PartitionTable mTable;
@@ -58,6 +62,7 @@
     private boolean mReleasing;
     private long mConfirmedMillis;
     private long mLoadMillis;
+    private long mRetryLoggedMillis;
     private Map<String, Integer> mLoad = Map.of();
 
     /** Hears of what is durable. All calls come from the owner's thread. */
@@ -229,11 +234,7 @@
         }
         PartitionTable.Failure failure = result.getLeft();
         if (failure.error().kind() != TableError.Kind.CONFLICT) {
-            LOG.log(
-                    LogEvent.COMMIT_RETRIED,
-                    group.row().epoch(),
-                    group.row().sequence(),
-                    failure.error().message());
+            logRetry(group, failure.error());
             mThread.later(() -> sendAgain(group), RETRY_MILLIS);
             return;
         }
@@ -246,6 +247,19 @@
         }
     }
 
+    private void logRetry(Group group, TableError error) {
+        long nowMillis = mClock.millis();
+        if (nowMillis - mRetryLoggedMillis < RETRY_LOG_MILLIS) {
+            return;
+        }
+        mRetryLoggedMillis = nowMillis;
+        LOG.log(
+                LogEvent.COMMIT_RETRIED,
+                group.row().epoch(),
+                group.row().sequence(),
+                error.message());
+    }
+
     private void sendAgain(Group group) {
         if (!mClosed) {
             send(
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/log/QueuedLinesTest.java
@@ -0,0 +1,60 @@
+package org.hyssoprouter.daemon.log;
+
+import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
+import java.util.logging.Level;
+import java.util.logging.LogRecord;
+import org.junit.jupiter.api.Test;
+
+class QueuedLinesTest {
+    private static final Duration LIMIT = Duration.ofSeconds(20);
+
+    @Test
+    void linesComeInOrder() {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        QueuedLines lines = new QueuedLines(new PrintStream(bytes), new LineFormatter());
+        lines.publish(new LogRecord(Level.INFO, "one"));
+        lines.publish(new LogRecord(Level.INFO, "two"));
+        await().atMost(LIMIT).until(() -> text(bytes).contains("two"));
+        assertTrue(text(bytes).indexOf("one") < text(bytes).indexOf("two"));
+    }
+
+    @Test
+    void whoLogsNeverWaitsAndWhatIsDroppedIsCounted() {
+        CountDownLatch release = new CountDownLatch(1);
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        OutputStream stuck =
+                new OutputStream() {
+                    @Override
+                    public void write(int b) {
+                        awaitRelease(release);
+                        bytes.write(b);
+                    }
+                };
+        QueuedLines lines = new QueuedLines(new PrintStream(stuck), new LineFormatter(), 8);
+        for (int i = 0; i < 1_000; i++) {
+            lines.publish(new LogRecord(Level.INFO, "line " + i));
+        }
+        release.countDown();
+        await().atMost(LIMIT).until(() -> text(bytes).contains("dropped 9"));
+    }
+
+    private static void awaitRelease(CountDownLatch release) {
+        try {
+            release.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    private static String text(ByteArrayOutputStream bytes) {
+        return bytes.toString(StandardCharsets.UTF_8);
+    }
+}
