Let the lease of a silent worker run out

A second way to wait for ever: an acknowledged stop was forgotten before a report asked for after it could come back. Change: a silent worker is asked without a deadline; an acknowledgement stands. Test: WorkerPollsTest failed first; the case of the stop has a regression test that passes before, too, since the simulated worker lists it sooner.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
@@ -123,7 +123,10 @@
     private void open(WorkerEntry worker, Poll poll) {
         poll.mOpen = true;
         long sentMillis = mClock.millis();
-        boolean mayRenew = mCommits.confirmationAgeMillis() < mLimits.confirmMillis();
+        boolean confirmed = mCommits.confirmationAgeMillis() < mLimits.confirmMillis();
+        // Each lease that is sent may be granted late, so that a silent worker's would never run
+        // out.
+        boolean mayRenew = confirmed && !poll.mSilent;
         long deadlineMillis = mayRenew ? mScheduler.leaseDeadline(worker.id(), sentMillis) : 0;
         long waitMillis = mScheduler.isBusy(worker.id()) ? BUSY_WAIT_MILLIS : IDLE_WAIT_MILLIS;
         boolean first = mayRenew && deadlineMillis == 0;
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollsTest.java
@@ -0,0 +1,183 @@
+package org.hyssoprouter.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
+import org.hyssoprouter.daemon.ownership.Tasks;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.internal.workflow.SchedulerLimits;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.RunReport;
+import org.hyssoprouter.lib.workflow.StartOutcome;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.TaskStop;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.transport.TaskRunner;
+import org.junit.jupiter.api.Test;
+
+class WorkerPollsTest {
+    private static final SchedulerLimits LIMITS = new SchedulerLimits(6_000, 900, 2_500);
+
+    private long mNowMillis = 1_000;
+    private boolean mSilent;
+    private final List<TaskRunner.Renewal> mRenewals = new ArrayList<>();
+    private final PoolScheduler mScheduler = new PoolScheduler(LIMITS, 0);
+    private final OwnerCommits mCommits =
+            new OwnerCommits(
+                    new DeafTable(),
+                    mScheduler,
+                    new DirectTasks(),
+                    () -> mNowMillis,
+                    new Ignored(),
+                    new WorkflowMeters());
+    private final WorkerPolls mPolls =
+            new WorkerPolls(
+                    mScheduler,
+                    mCommits,
+                    new Runner(),
+                    new DirectTasks(),
+                    () -> mNowMillis,
+                    LIMITS,
+                    new Ignored());
+
+    @Test
+    void aSilentWorkerGetsNoNewLeaseSoThatTheLastOneRunsOut() {
+        mCommits.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        mScheduler.listed(
+                new WorkerEntry("w", "pool", "w:1", "d", "r", List.of(), Room.NONE, false, 0, 0, 1),
+                mNowMillis);
+        mPolls.open();
+        advance(300);
+        assertTrue(last().deadlineMillis() > 0, "an answering worker gets a lease");
+        mSilent = true;
+        advance(300);
+        int heard = mRenewals.size();
+        for (int i = 0; i < 8; i++) {
+            advance(300);
+        }
+        assertTrue(mRenewals.size() > heard, "a silent worker is asked again");
+        mRenewals
+                .subList(heard, mRenewals.size())
+                .forEach(renewal -> assertEquals(0, renewal.deadlineMillis()));
+    }
+
+    private TaskRunner.Renewal last() {
+        return mRenewals.get(mRenewals.size() - 1);
+    }
+
+    private void advance(long millis) {
+        mNowMillis += millis;
+        mPolls.pump();
+    }
+
+    /** Answers at once, or fails at once. */
+    private final class Runner implements TaskRunner {
+        private int mDepth;
+
+        @Override
+        public CompletableFuture<StartOutcome> start(TaskStart order, long deadline, long token) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Boolean> stop(TaskStop order, long token) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Either<CallError, RunReport>> renew(
+                String workerId, String address, Renewal renewal) {
+            mRenewals.add(renewal);
+            if (mSilent) {
+                return CompletableFuture.completedFuture(
+                        Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "timeout")));
+            }
+            if (++mDepth > 3) {
+                mDepth = 0;
+                return CompletableFuture.completedFuture(
+                        Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "timeout")));
+            }
+            return CompletableFuture.completedFuture(
+                    Either.right(new RunReport(mNowMillis, 1, List.of(), List.of())));
+        }
+
+        @Override
+        public CompletableFuture<Boolean> pace(TaskStop run, int percent, long token) {
+            return new CompletableFuture<>();
+        }
+    }
+
+    /** Runs tasks at once. */
+    private static final class DirectTasks implements Tasks {
+        @Override
+        public void execute(Runnable task) {
+            task.run();
+        }
+
+        @Override
+        public void later(Runnable task, long delayMillis) {}
+
+        @Override
+        public void repeat(Runnable task, long pauseMillis) {}
+
+        @Override
+        public void stopNow() {}
+
+        @Override
+        public void stop(long withinMillis) {}
+    }
+
+    /** Never answers. */
+    private static final class DeafTable implements PartitionTable {
+        @Override
+        public CompletableFuture<Either<Failure, Committed>> commit(Batch batch) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Either<TableError, Page>> read(Range range) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Either<TableError, Page>> changes(
+                String table, long after, long waitMillis) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Either<TableError, List<String>>> partitions(String table) {
+            return new CompletableFuture<>();
+        }
+    }
+
+    private static final class Ignored implements OwnerCommits.Listener, WorkerPolls.Listener {
+        @Override
+        public void release(List<TaskStart> starts) {}
+
+        @Override
+        public void shown(Map<String, WorkflowState> states) {}
+
+        @Override
+        public void endsDurable() {}
+
+        @Override
+        public void lost(String reason) {}
+
+        @Override
+        public void released() {}
+
+        @Override
+        public void reported() {}
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Upkeep.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Upkeep.java
@@ -70,8 +70,8 @@
                             ? nowMillis - task.mStopSentMillis > STOP_AGAIN_MILLIS
                             : nowMillis - task.mStopAckMillis
                                     > mState.mLimits.stopMillis() + STOP_AGAIN_MILLIS;
-            if (again) {
-                task.mStopAckMillis = 0;
+            if (again && nowMillis - task.mStopSentMillis > STOP_AGAIN_MILLIS) {
+                // An acknowledgement stands: a report that was asked for after it settles the run.
                 mState.stop(task, "stop again", nowMillis);
             }
             return;
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -128,6 +128,17 @@
         assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
     }
 
+    @Test
+    void aStartThatNeverArrivedIsSettledByALaterReport() {
+        SimulatedWorker worker = mPool.worker("w0", 4_000);
+        worker.loseStarts(true);
+        mPool.submit(workflow("a", "batch", step(2, 1_000, 400, false)));
+        mPool.run(1_000);
+        worker.loseStarts(false);
+        mPool.run(6_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+    }
+
     @Test
     void aWorkerThatFailsEverythingDoesNotUseUpTheAttempts() {
         mPool.worker("w0", 1_000).failEverything(true);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -35,7 +35,8 @@
 
     private static final long CALL_MILLIS = 3;
     private static final long COMMIT_MILLIS = 10;
-    private static final long REPORT_MILLIS = 250;
+    private static final long REPORT_MILLIS = 1_000;
+    private static final long STEP_MILLIS = 20;
     private static final long TICK_MILLIS = 50;
 
     private final PriorityQueue<Event> mEvents =
@@ -276,26 +277,37 @@
     }
 
     private void report(SimulatedWorker worker) {
-        PoolScheduler scheduler = mScheduler;
-        if (!worker.isDown()) {
-            long sentMillis = mNowMillis;
-            RunReport report = worker.report(scheduler.leaseDeadline(worker.mId, mNowMillis));
-            at(
-                    CALL_MILLIS,
-                    () -> {
-                        scheduler.reported(worker.mId, report, sentMillis, mNowMillis);
-                        if (scheduler.equals(mScheduler)) {
-                            pump();
-                        }
-                    });
-        } else {
+        poll(mScheduler, worker, mNowMillis);
+    }
+
+    /** Answers when a run has ended or the time is over, like a call that the worker holds back. */
+    private void poll(PoolScheduler scheduler, SimulatedWorker worker, long sentMillis) {
+        if (!scheduler.equals(mScheduler)) {
+            return;
+        }
+        if (worker.isDown()) {
             scheduler.silent(worker.mId);
+            at(REPORT_MILLIS, () -> poll(scheduler, worker, mNowMillis));
+            return;
+        }
+        boolean first = sentMillis == mNowMillis;
+        if (first) {
+            worker.renew(scheduler.leaseDeadline(worker.mId, mNowMillis));
+        }
+        boolean knownClock = scheduler.leaseDeadline(worker.mId, mNowMillis) > 0;
+        boolean over = !knownClock || mNowMillis - sentMillis >= REPORT_MILLIS;
+        if (!over && !worker.hasNews()) {
+            at(STEP_MILLIS, () -> poll(scheduler, worker, sentMillis));
+            return;
         }
+        RunReport report = worker.report();
         at(
-                REPORT_MILLIS,
+                CALL_MILLIS,
                 () -> {
                     if (scheduler.equals(mScheduler)) {
-                        report(worker);
+                        scheduler.reported(worker.mId, report, sentMillis, mNowMillis);
+                        pump();
+                        poll(scheduler, worker, mNowMillis);
                     }
                 });
     }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -29,6 +29,8 @@
     private boolean mFails;
     private boolean mStalls;
     private boolean mDropsAnswers;
+    private boolean mLosesStarts;
+    private long mReported;
     private double mSlowness = 1;
     private long mSequence;
     private long mToken;
@@ -88,11 +90,15 @@
         mBarred.clear();
         mEnded.clear();
         mSequence = 0;
+        mReported = 0;
         mToken = 0;
         mBornMillis = mPool.nowMillis() + 1;
     }
 
     StartOutcome start(TaskStart order, long token, long deadlineMillis) {
+        if (mLosesStarts) {
+            return StartOutcome.UNKNOWN;
+        }
         if (token < mToken) {
             return StartOutcome.FENCED;
         }
@@ -187,9 +193,23 @@
         }
     }
 
-    RunReport report(long deadlineMillis) {
-        mToken = mPool.epoch();
+    void renew(long deadlineMillis) {
         mDeadlineMillis = Math.max(mDeadlineMillis, deadlineMillis);
+    }
+
+    /** Returns whether a run has ended since the last report. */
+    boolean hasNews() {
+        return mSequence > mReported;
+    }
+
+    /** Loses orders to start a run on their way, without an answer. */
+    void loseStarts(boolean loses) {
+        mLosesStarts = loses;
+    }
+
+    RunReport report() {
+        mToken = mPool.epoch();
+        mReported = mSequence;
         List<RunReport.Running> running = new ArrayList<>();
         for (Run run : mRuns.values()) {
             long percent = 100 * (mPool.nowMillis() - run.startMillis()) / (run.workMillis() + 1);
