--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ReloadSignal.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/ReloadSignal.java
@@ -16,8 +16,13 @@
 
     private ReloadSignal() {}
 
-    /** Sets the task; without support for signals SIGHUP keeps its default effect. */
-    public static void onReload(Runnable task) {
+    /**
+     * Sets the task; without support for signals SIGHUP keeps its default effect.
+     *
+     * @return whether the task will be called; it is not in a process that was started with SIGHUP
+     *     ignored, as by nohup, which the signal cannot end either
+     */
+    public static boolean onReload(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -32,9 +37,11 @@
                     Proxy.newProxyInstance(
                             handler.getClassLoader(), new Class<?>[] {handler}, calls);
             Object hangUp = signal.getConstructor(String.class).newInstance("HUP");
-            Object unused = signal.getMethod("handle", signal, handler).invoke(null, hangUp, proxy);
+            Object former = signal.getMethod("handle", signal, handler).invoke(null, hangUp, proxy);
+            return !handler.getField("SIG_IGN").get(null).equals(former);
         } catch (ReflectiveOperationException | IllegalArgumentException e) {
             LOG.log(LogEvent.TASK_FAILED, "reload signal", e.toString());
+            return false;
         }
     }
 }
