--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
@@ -122,10 +122,11 @@
             return;
         }
         PartitionTable.Failure failure = result.getLeft();
-        switch (failure.error().kind()) {
-            case CONFLICT -> conflicting(group, failure.current());
-            case UNKNOWN -> again(group, true, failure.error());
-            case UNAVAILABLE, BUSY -> again(group, false, failure.error());
+        TableError.Kind kind = failure.error().kind();
+        if (kind == TableError.Kind.CONFLICT) {
+            conflicting(group, failure.current());
+        } else {
+            again(group, kind == TableError.Kind.UNKNOWN, failure.error());
         }
     }
 
