Withdraw overtaken starts, and know a worker's new life by any other start time

A lost answer also stopped a run that a report had already shown to be there. A worker's life counted as new only if its start time was later, so that one whose time of day had been set back was never used again.

Change: a start is sent or repeated only while its task is still placed with that run on that worker (E5008 otherwise); an unknown answer leaves a reported run alone; any start time other than the present and the former one begins a new life.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -51,6 +51,8 @@
     /** The approval service was asked. */
     APPROVAL_ANSWERED(
             5007, Level.INFO, "approval answered", "step", "named", "approved", "millis", "via"),
+    /** A start was overtaken while its row was made durable. */
+    RUN_WITHDRAWN(5008, Level.INFO, "start withdrawn", "task", "run", "worker", "epoch"),
     /** This daemon became owner of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon is no longer owner of the pools. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunOrders.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunOrders.java
@@ -56,7 +56,12 @@
         mClosed = true;
     }
 
+    /** Sends a start whose row is durable, unless something has overtaken it since. */
     void start(TaskStart order, long epoch) {
+        if (!mScheduler.isWanted(order)) {
+            LOG.log(LogEvent.RUN_WITHDRAWN, order.task(), order.run(), order.workerId(), epoch);
+            return;
+        }
         LOG.log(LogEvent.RUN_SENT, order.task(), order.run(), order.workerId(), epoch);
         start(order, epoch, 1);
     }
@@ -76,7 +81,8 @@
         if (mClosed) {
             return;
         }
-        if (outcome == StartOutcome.UNKNOWN && attempt < TRIES) {
+        boolean again = outcome == StartOutcome.UNKNOWN && attempt < TRIES;
+        if (again && mScheduler.isWanted(order)) {
             start(order, epoch, attempt + 1);
             return;
         }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollsTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollsTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
-import org.hyssoprouter.daemon.ownership.Tasks;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
@@ -117,26 +116,6 @@
         }
     }
 
-    /** Runs tasks at once. */
-    private static final class DirectTasks implements Tasks {
-        @Override
-        public void execute(Runnable task) {
-            task.run();
-        }
-
-        @Override
-        public void later(Runnable task, long delayMillis) {}
-
-        @Override
-        public void repeat(Runnable task, long pauseMillis) {}
-
-        @Override
-        public void stopNow() {}
-
-        @Override
-        public void stop(long withinMillis) {}
-    }
-
     /** Never answers. */
     private static final class DeafTable implements PartitionTable {
         @Override
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -139,7 +139,7 @@
         PoolWorker worker =
                 mState.mWorkers.computeIfAbsent(
                         entry.id(), id -> new PoolWorker(entry, mState.mLimits));
-        if (entry.bornMillis() > worker.mBornMillis) {
+        if (worker.isNewLife(entry.bornMillis())) {
             mRuns.newLife(worker, entry.bornMillis(), nowMillis);
         }
         worker.update(entry);
@@ -228,6 +228,19 @@
         }
     }
 
+    /**
+     * Returns whether an order to start still stands. One that waited for its commit may have been
+     * overtaken by a cancellation, a stop or the end of an earlier run.
+     */
+    public boolean isWanted(TaskStart order) {
+        Task task = mState.find(order.task());
+        return task != null
+                && task.mPhase == Task.Phase.PLACED
+                && task.mRun == order.run()
+                && task.mWorker != null
+                && task.mWorker.mId.equals(order.workerId());
+    }
+
     /**
      * Takes in the answer to a start.
      *
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -20,6 +20,7 @@
     private Room mUsed = Room.NONE;
     boolean mListed;
     long mBornMillis;
+    private long mFormerBornMillis;
     long mContactMillis = -1;
     long mAvoidUntilMillis;
     long mSeenThrough;
@@ -43,6 +44,19 @@
         mEntry = entry;
     }
 
+    /**
+     * Returns whether a life is one that was not heard of yet. It need not be later than the
+     * present one: the worker's time of day may have been set back.
+     */
+    boolean isNewLife(long bornMillis) {
+        return bornMillis > 0 && bornMillis != mBornMillis && bornMillis != mFormerBornMillis;
+    }
+
+    void beginLife(long bornMillis) {
+        mFormerBornMillis = mBornMillis;
+        mBornMillis = bornMillis;
+    }
+
     void hold(Task task, Room room) {
         release(task.mKey);
         mHeld.put(task.mKey, new Held(task, room));
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -37,6 +37,10 @@
             accepted(task, nowMillis);
             return true;
         }
+        if (outcome == StartOutcome.UNKNOWN && task.mPhase == Task.Phase.RUNNING) {
+            // A report has settled what the lost answer left open.
+            return true;
+        }
         mState.mEffects.decided(
                 task.mKey, "start not accepted", "worker=" + order.workerId() + " " + outcome);
         if (outcome == StartOutcome.UNKNOWN) {
@@ -94,12 +98,12 @@
      * @return sequence of the last end that was taken in
      */
     long reported(PoolWorker worker, RunReport report, long sentMillis, long nowMillis) {
-        if (report.bornMillis() < worker.mBornMillis) {
-            return worker.mSeenThrough;
-        }
-        if (report.bornMillis() > worker.mBornMillis) {
+        if (worker.isNewLife(report.bornMillis())) {
             newLife(worker, report.bornMillis(), nowMillis);
         }
+        if (report.bornMillis() != worker.mBornMillis) {
+            return worker.mSeenThrough;
+        }
         worker.mClock.read(report.clockMillis(), nowMillis);
         worker.mContactMillis = nowMillis;
         for (RunReport.Ended end : report.ended()) {
@@ -130,7 +134,7 @@
     /** Drops what a former life of a worker ran. */
     void newLife(PoolWorker worker, long bornMillis, long nowMillis) {
         boolean first = worker.mBornMillis == 0;
-        worker.mBornMillis = bornMillis;
+        worker.beginLife(bornMillis);
         if (first) {
             return;
         }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -128,6 +128,26 @@
         assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
     }
 
+    @Test
+    void aReportSettlesAStartWhoseAnswerIsLost() {
+        mPool.worker("w0", 4_000).dropAnswers(true);
+        mPool.answersAfter(1_800);
+        mPool.submit(workflow("a", "batch", step(3, 1_000, 4_000, false)));
+        mPool.run(6_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+        assertEquals(3, mPool.starts());
+    }
+
+    @Test
+    void aWorkerIsUsedAgainAfterItsTimeOfDayWasSetBack() {
+        SimulatedWorker worker = mPool.worker("w0", 4_000);
+        mPool.submit(workflow("a", "batch", step(2, 1_000, 1_000, false)));
+        mPool.run(600);
+        worker.restart(-5_000);
+        mPool.run(4_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+    }
+
     @Test
     void aStartThatNeverArrivedIsSettledByALaterReport() {
         SimulatedWorker worker = mPool.worker("w0", 4_000);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -57,6 +57,7 @@
     private long mEpoch = 1;
     private int mStarts;
     private int mAsked;
+    private long mAnswerMillis = CALL_MILLIS;
 
     /** Something that happens at a time. */
     private record Event(long atMillis, long order, Runnable action) {}
@@ -105,6 +106,11 @@
         pump();
     }
 
+    /** Lets answers to starts take this time. */
+    void answersAfter(long millis) {
+        mAnswerMillis = millis;
+    }
+
     void cancel(String id) {
         mScheduler.cancelled(id, mNowMillis);
         pump();
@@ -242,7 +248,7 @@
                         ? StartOutcome.NOT_SENT
                         : worker.start(start, mEpoch, deadlineMillis);
         at(
-                CALL_MILLIS,
+                mAnswerMillis,
                 () -> {
                     scheduler.started(start, outcome, mNowMillis);
                     if (scheduler.equals(mScheduler)) {
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -19,6 +19,9 @@
 
 /** A worker that starts whatever it is told to. */
 final class SimulatedWorker {
+    /** Time of day at the start of the simulation. */
+    private static final long EPOCH_MILLIS = 1_000_000;
+
     private final SimulatedPool mPool;
     final String mId;
     private final Room mCapacity;
@@ -34,7 +37,7 @@
     private double mSlowness = 1;
     private long mSequence;
     private long mToken;
-    private long mBornMillis = 1;
+    private long mBornMillis = EPOCH_MILLIS;
     private long mDeadlineMillis;
 
     SimulatedWorker(SimulatedPool pool, String id, long cpuMillis) {
@@ -86,13 +89,22 @@
     }
 
     void restart() {
+        restart(0);
+    }
+
+    /**
+     * Ends the present life and begins another one.
+     *
+     * @param clockErrorMillis error of the time of day at the start of the new life
+     */
+    void restart(long clockErrorMillis) {
         mRuns.clear();
         mBarred.clear();
         mEnded.clear();
         mSequence = 0;
         mReported = 0;
         mToken = 0;
-        mBornMillis = mPool.nowMillis() + 1;
+        mBornMillis = mPool.nowMillis() + EPOCH_MILLIS + clockErrorMillis;
     }
 
     StartOutcome start(TaskStart order, long token, long deadlineMillis) {
