Look only at a step's approved workers, share rounds of placement, renew tickets early

Each answer of a worker or of the approval service began a round of placement, and each round looked at all 246 workers for every waiting step, sorted them by comparisons that summed up free room anew, and sorted the steps by policies looked up in each comparison. While the pool was full, steps asked for approval of the one worker that had room (named=1, 446 calls in second 29) and left that room idle during the call.

Change: TaskPlan computes free room once a worker; ApprovedPlacement looks at the approved workers of a step only; a round follows the last one after 4 ms or twice its length; tickets of the first steps in line are renewed for all approved workers before they expire; a wide gang names as many workers as it is likely to need in one call.

PoolSchedulerTest.aStepThatWaitsStartsAsSoonAsRoomIsFree and aWideGangNamesEnoughWorkersAtOnce failed first.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -35,6 +35,14 @@
     private static final long WORKERS_PAUSE_MILLIS = 200;
     private static final long STOP_MILLIS = 500;
 
+    /** Least time between two rounds of placement; what arrives meanwhile shares the next one. */
+    private static final long ROUND_PAUSE_MILLIS = 4;
+
+    /** A round is followed by a pause of so many times its length, so that answers get through. */
+    private static final long PAUSE_ROUNDS = 2;
+
+    private static final long NANOS_PER_MILLI = 1_000_000;
+
     private final Ports mPorts;
     private final Ownership mOwnership;
     private final Tasks mThread = new TaskThread("pool-owner");
@@ -55,6 +63,7 @@
     private boolean mWorkersRead;
     private boolean mJobsStarted;
     private boolean mPumping;
+    private long mNextRoundMillis;
     private boolean mClosed;
 
     /** What an owner needs of the daemon. */
@@ -215,14 +224,20 @@
     private void pumpSoon() {
         if (!mPumping) {
             mPumping = true;
-            mThread.execute(
-                    () -> {
-                        mPumping = false;
-                        pump();
-                    });
+            long pauseMillis = mNextRoundMillis - mClock.millis();
+            if (pauseMillis <= 0) {
+                mThread.execute(this::pumpNow);
+            } else {
+                mThread.later(this::pumpNow, pauseMillis);
+            }
         }
     }
 
+    private void pumpNow() {
+        mPumping = false;
+        pump();
+    }
+
     private void pump() {
         if (mClosed) {
             return;
@@ -230,7 +245,12 @@
         if (mOpen) {
             long startNanos = System.nanoTime();
             mScheduler.place(mClock.millis());
-            mPorts.meters().placed(System.nanoTime() - startNanos);
+            long tookNanos = System.nanoTime() - startNanos;
+            mPorts.meters().placed(tookNanos);
+            long pauseMillis = PAUSE_ROUNDS * tookNanos / NANOS_PER_MILLI;
+            mNextRoundMillis =
+                    mClock.millis()
+                            + Math.max(ROUND_PAUSE_MILLIS, Math.min(TICK_MILLIS, pauseMillis));
         }
         Effects effects = mScheduler.effects();
         mCommits.add(effects.takeChanged(), effects.takeStarts());
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
@@ -165,8 +165,8 @@
             poll.mWaitsForCommit = true;
             poll.mNotBeforeMillis = nowMillis + COMMIT_WAIT_MILLIS;
         }
+        // The round of placement that follows opens the next call.
         mListener.reported();
-        pump();
     }
 
     private void failed(WorkerEntry worker, Poll poll, CallError error) {
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ApprovedPlacement.java
@@ -0,0 +1,193 @@
+package org.hyssoprouter.internal.workflow;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.ApprovalRequest;
+import org.hyssoprouter.lib.workflow.QueuePolicy;
+
+/**
+ * Places steps whose workers need the approval of an outside service. The set of approved workers
+ * of a step never changes, but its tickets expire. Load pattern: a pool that is nearly full, in
+ * which steps wait longer than their tickets last; asking only once room is free would leave that
+ * room idle for the time of the call, again and again.
+ */
+final class ApprovedPlacement {
+    /** A ticket must be valid for so long after the decision: commit and way of the order. */
+    static final long TICKET_MARGIN_MILLIS = 250;
+
+    /** Most workers named for one step at first, and to renew tickets. */
+    static final int MAX_NAMED = 40;
+
+    /** Most workers that the service takes in one call. */
+    static final int MAX_NAMED_FOR_GANG = 100;
+
+    /** Share of the workers that is expected to be approved before any answer. */
+    static final double EXPECTED_SHARE = 0.4;
+
+    /** Factor on the number of workers named, since the approved share varies from step to step. */
+    static final double NAMED_MARGIN = 1.3;
+
+    /** Longest call that is made to keep tickets valid for a step that finds no room yet. */
+    static final double RENEW_CALL_MILLIS = 250;
+
+    /** Steps, from the front of the line, whose tickets are renewed while they find no room. */
+    static final int MAX_RENEWED = 24;
+
+    private final PoolState mState;
+    private final PlacementRound mRound;
+    private final long mNowMillis;
+    private int mWaiting;
+
+    ApprovedPlacement(PoolState state, PlacementRound round, long nowMillis) {
+        mState = state;
+        mRound = round;
+        mNowMillis = nowMillis;
+    }
+
+    void place(Step step, List<Task> tasks, QueuePolicy policy, QueuePolicy.Approval approval) {
+        List<PoolWorker> approved = new ArrayList<>();
+        List<PoolWorker> ticketed = new ArrayList<>();
+        for (String id : step.mApprovals.approved()) {
+            PoolWorker worker = mState.mWorkers.get(id);
+            boolean open =
+                    worker != null
+                            && mRound.isUsable(worker, policy.pool())
+                            && mRound.isOpenTo(step, worker);
+            if (open) {
+                approved.add(worker);
+                if (step.mApprovals.hasTicket(id, mNowMillis + TICKET_MARGIN_MILLIS)) {
+                    ticketed.add(worker);
+                }
+            }
+        }
+        List<Task> left = tasks;
+        if (!ticketed.isEmpty()) {
+            mRound.assign(step, mRound.plan(step, tasks, ticketed));
+            left = step.placeable();
+        }
+        if (left.isEmpty()) {
+            return;
+        }
+        mWaiting++;
+        if (step.mApprovals.mayAsk(mNowMillis)) {
+            askFor(step, left, approved, policy, approval);
+        }
+    }
+
+    private void askFor(
+            Step step,
+            List<Task> left,
+            List<PoolWorker> approved,
+            QueuePolicy policy,
+            QueuePolicy.Approval approval) {
+        Map<Task, PoolWorker> wanted = mRound.plan(step, left, approved);
+        if (!wanted.isEmpty()) {
+            mRound.reserve(step, wanted);
+            ask(step, withOthers(step, wanted.values(), approved, approval), policy, approval);
+            return;
+        }
+        if (mRound.preempt(step, left, approved)) {
+            ask(step, step.mReserved.keySet(), policy, approval);
+            return;
+        }
+        List<PoolWorker> unnamed = unnamed(step, policy);
+        if (!unnamed.isEmpty()) {
+            int count = Math.min(unnamed.size(), namedFor(step, left.size(), approved.size()));
+            ask(step, unnamed.subList(0, count), policy, approval);
+            return;
+        }
+        if (step.mSpec.gang()) {
+            mRound.claim(step, approved);
+        } else if (mWaiting <= MAX_RENEWED) {
+            renew(step, approved, policy, approval);
+        }
+    }
+
+    /** Renews the tickets of a step that finds no room, before the last of them expires. */
+    private void renew(
+            Step step,
+            List<PoolWorker> approved,
+            QueuePolicy policy,
+            QueuePolicy.Approval approval) {
+        Set<PoolWorker> named = withOthers(step, List.of(), approved, approval);
+        long callMillis = (long) approval.callMillis(named.size());
+        long untilMillis = mNowMillis + TICKET_MARGIN_MILLIS + callMillis;
+        boolean valid =
+                approved.stream().anyMatch(w -> step.mApprovals.hasTicket(w.mId, untilMillis));
+        if (!valid && !named.isEmpty()) {
+            ask(step, named, policy, approval);
+        }
+    }
+
+    /**
+     * Adds approved workers whose tickets cost little, so that the step may start wherever room
+     * becomes free next.
+     */
+    private static Set<PoolWorker> withOthers(
+            Step step,
+            Iterable<PoolWorker> wanted,
+            List<PoolWorker> approved,
+            QueuePolicy.Approval approval) {
+        Set<PoolWorker> named = new LinkedHashSet<>();
+        wanted.forEach(named::add);
+        if (step.mSpec.gang() || approval.callMillis(named.size()) > RENEW_CALL_MILLIS) {
+            return named;
+        }
+        for (PoolWorker worker : approved) {
+            boolean cheap = approval.callMillis(named.size() + 1) <= RENEW_CALL_MILLIS;
+            if (named.size() < MAX_NAMED && cheap) {
+                named.add(worker);
+            }
+        }
+        return named;
+    }
+
+    /** Returns the workers that the service was not asked about, if one of them would help. */
+    private List<PoolWorker> unnamed(Step step, QueuePolicy policy) {
+        boolean none = step.mApprovals.approved().isEmpty();
+        Room room = TaskPlan.roomOf(step.mSpec);
+        List<PoolWorker> unnamed = new ArrayList<>();
+        boolean fits = none;
+        for (PoolWorker worker : mRound.usable(policy.pool())) {
+            if (!step.mApprovals.isNamed(worker.mId) && mRound.isOpenTo(step, worker)) {
+                unnamed.add(worker);
+                fits |= room.fitsIn(worker.freeFor(step));
+            }
+        }
+        if (!fits) {
+            return List.of();
+        }
+        unnamed.sort(Comparator.comparingLong(w -> -w.freeFor(step).cpuMillis()));
+        return unnamed;
+    }
+
+    /** Returns how many workers to name so that enough of them are approved. */
+    private static int namedFor(Step step, int tasks, int approved) {
+        if (!step.mSpec.gang()) {
+            return MAX_NAMED;
+        }
+        double share = step.mApprovals.share(EXPECTED_SHARE);
+        double wanted = Math.max(1, tasks - approved) / share * NAMED_MARGIN;
+        return (int) Math.max(MAX_NAMED, Math.min(MAX_NAMED_FOR_GANG, Math.ceil(wanted)));
+    }
+
+    private void ask(
+            Step step,
+            Iterable<PoolWorker> workers,
+            QueuePolicy policy,
+            QueuePolicy.Approval approval) {
+        List<String> names = new ArrayList<>();
+        workers.forEach(worker -> names.add(worker.mId));
+        double expectedMillis = approval.callMillis(names.size());
+        step.mApprovals.asked();
+        step.mReservedUntilMillis =
+                mNowMillis + (long) expectedMillis + PlacementRound.RESERVE_SLACK_MILLIS;
+        mState.mEffects.ask(
+                new ApprovalRequest(step.mKey, policy.priority(), names, expectedMillis));
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -117,7 +117,7 @@
             } else if (!taskRow.worker().isEmpty()) {
                 PoolWorker worker = workerOf(taskRow.worker());
                 task.mWorker = worker;
-                worker.hold(task, PlacementRound.roomOf(step.mSpec));
+                worker.hold(task, TaskPlan.roomOf(step.mSpec));
                 task.enter(Task.Phase.INHERITED, nowMillis);
             }
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Preemption.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Preemption.java
@@ -36,7 +36,7 @@
         Room room = worker.freeFor(step);
         for (Task task : worker.tasks()) {
             if (task.mPhase == Task.Phase.STOPPING || mayStop(step, task)) {
-                room = room.plus(PlacementRound.roomOf(task.mStep.mSpec));
+                room = room.plus(TaskPlan.roomOf(task.mStep.mSpec));
             }
         }
         return room;
@@ -48,7 +48,7 @@
         List<Task> victims = new ArrayList<>();
         for (Task task : worker.tasks()) {
             if (task.mPhase == Task.Phase.STOPPING) {
-                free = free.plus(PlacementRound.roomOf(task.mStep.mSpec));
+                free = free.plus(TaskPlan.roomOf(task.mStep.mSpec));
             } else if (mayStop(step, task)) {
                 victims.add(task);
             }
@@ -61,7 +61,7 @@
             if (needed.fitsIn(free)) {
                 return;
             }
-            free = free.plus(PlacementRound.roomOf(task.mStep.mSpec));
+            free = free.plus(TaskPlan.roomOf(task.mStep.mSpec));
             task.mPreemptions++;
             mState.mEffects.decided(
                     task.mKey, "preempted", "worker=" + worker + " for " + step.mKey);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/StepApprovals.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/StepApprovals.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
 import org.hyssoprouter.lib.workflow.Approvals;
@@ -14,7 +15,7 @@
 final class StepApprovals {
     private final Map<String, Ticket> mTickets = new HashMap<>();
     private final Set<String> mNamed = new HashSet<>();
-    private final Set<String> mApproved = new HashSet<>();
+    private final Set<String> mApproved = new LinkedHashSet<>();
     private boolean mAsking;
     private long mAskAgainMillis;
 
@@ -52,12 +53,14 @@
         return mNamed.contains(worker);
     }
 
-    boolean isApproved(String worker) {
-        return mApproved.contains(worker);
+    /** Returns the workers that may run the step. */
+    Set<String> approved() {
+        return mApproved;
     }
 
-    int approvedCount() {
-        return mApproved.size();
+    /** Returns the approved share of the workers named so far, or a guess before any answer. */
+    double share(double guess) {
+        return mNamed.isEmpty() ? guess : Math.max(1.0, mApproved.size()) / mNamed.size();
     }
 
     boolean hasTicket(String worker, long untilMillis) {
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
@@ -75,6 +76,31 @@
         assertTrue(mPool.asked() >= 1);
     }
 
+    // Load pattern: a full pool, in which steps wait longer than their tickets last.
+    @Test
+    void aStepThatWaitsStartsAsSoonAsRoomIsFree() {
+        mPool.queue("slow", 0, 3, 0.9, new QueuePolicy.Approval(200, 1, 2_000));
+        workers(2);
+        mPool.submit(workflow("full", "batch", step(2, 4_000, 5_000, false)));
+        mPool.run(1_000);
+        mPool.submit(workflow("waits", "slow", step(1, 1_000, 300, false)));
+        mPool.run(8_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("waits"));
+        assertTrue(mPool.tookMillis("waits") < 4_450, "took " + mPool.tookMillis("waits"));
+    }
+
+    // Load pattern: a gang wider than the approved part of the workers that one call names.
+    @Test
+    void aWideGangNamesEnoughWorkersAtOnce() {
+        mPool.queue("slow", 0, 3, 0.4, new QueuePolicy.Approval(500, 7, 4_000));
+        workers(120);
+        mPool.run(100);
+        mPool.submit(workflow("gang", "slow", step(25, 4_000, 1_000, true)));
+        mPool.run(6_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("gang"));
+        assertEquals(1, mPool.asked());
+    }
+
     @Test
     void aNewOwnerGoesOnWithoutRunningAnythingTwice() {
         workers(3);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -67,10 +67,27 @@
     }
 
     SimulatedPool queue(String name, int priority, int maxAttempts, double approvedShare) {
+        return queue(
+                name,
+                priority,
+                maxAttempts,
+                approvedShare,
+                new QueuePolicy.Approval(20, 0.2, 2_000));
+    }
+
+    /**
+     * Adds a queue.
+     *
+     * @param approvedShare share of the workers that may run a step; 1 for no approval service
+     */
+    SimulatedPool queue(
+            String name,
+            int priority,
+            int maxAttempts,
+            double approvedShare,
+            QueuePolicy.Approval service) {
         Option<QueuePolicy.Approval> approval =
-                approvedShare < 1
-                        ? Option.some(new QueuePolicy.Approval(20, 0.2, 2_000))
-                        : Option.none();
+                approvedShare < 1 ? Option.some(service) : Option.none();
         mQueues.add(
                 new QueuePolicy(
                         name,
