Move runs off draining workers, know when one has left, let strong hosts own the pools

An owner may have 0.36 cores in the grown deployments, where it needs about one.

Change: a run that would not end in the remaining time is stopped with its progress and placed elsewhere (Evacuation). A draining worker whose entry goes sooner than three heartbeats has left (WorkerDepartures), and so has one whose address another worker answers at: its runs are placed again at once. A reservation holds while its approval is asked for; a step that is approved for enough workers asks for no more; room is made for four gangs at a time. Daemons with less than 0.6 of the strongest one's processor time campaign 700 ms later.

Not measured yet.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
@@ -18,6 +18,12 @@
 
     private static final long MAX_STAGGER_MILLIS = 400;
 
+    /** Time for which a daemon lets much stronger ones go first: the owner needs the most. */
+    static final long WEAK_MILLIS = 700;
+
+    /** A daemon with less than this share of the strongest one's processor time is a weak one. */
+    private static final double WEAK_SHARE = 0.6;
+
     private static final long UNKNOWN = -1;
 
     private final WorkflowSettings mSettings;
@@ -26,6 +32,7 @@
     private Option<OwnerRow> mRow = Option.none();
     private long mVersion;
     private boolean mChanged;
+    private boolean mWeak;
     private long mUnchangedSinceMillis = UNKNOWN;
     private long mUnbrokenSinceMillis = UNKNOWN;
 
@@ -44,6 +51,11 @@
         mRoundTripMillis = Math.min(mRoundTripMillis, millis);
     }
 
+    /** Takes note of the processor time of the strongest daemon, in cores. */
+    synchronized void strongest(double cores) {
+        mWeak = mSettings.cores() < WEAK_SHARE * cores;
+    }
+
     synchronized void ownerRow(Option<OwnerRow> row, long version) {
         if (version <= mVersion) {
             return;
@@ -66,7 +78,7 @@
         if (mUnbrokenSinceMillis == UNKNOWN) {
             mUnbrokenSinceMillis = storeMillis;
         }
-        if (mRow.exists(this::isFormerSelf)) {
+        if (mRow.exists(this::isFormerSelf) && !mWeak) {
             return true;
         }
         long staggerMillis = staggerMillis();
@@ -79,7 +91,8 @@
 
     /** Returns the time for which this daemon lets others go first. */
     synchronized long staggerMillis() {
-        return mSpreadMillis + Math.min(MAX_STAGGER_MILLIS, mRoundTripMillis * STAGGER_ROUND_TRIPS);
+        long nearMillis = Math.min(MAX_STAGGER_MILLIS, mRoundTripMillis * STAGGER_ROUND_TRIPS);
+        return mSpreadMillis + nearMillis + (mWeak ? WEAK_MILLIS : 0);
     }
 
     private boolean isFormerSelf(OwnerRow row) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRow.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRow.java
@@ -6,5 +6,6 @@
  * @param name name
  * @param incarnation run of the daemon
  * @param address {@code ip:port} of its listener for other daemons
+ * @param cores processor time that it may use, in cores
  */
-record MemberRow(String name, String incarnation, String address) {}
+record MemberRow(String name, String incarnation, String address, double cores) {}
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Members.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Members.java
@@ -49,7 +49,12 @@
         mClock = clock;
         mRoundTrip = roundTrip;
         mTable = table;
-        mSelf = new MemberRow(settings.name(), settings.incarnation(), settings.peerAddress());
+        mSelf =
+                new MemberRow(
+                        settings.name(),
+                        settings.incarnation(),
+                        settings.peerAddress(),
+                        settings.cores());
         mTasks = tasks;
         mFollower =
                 new TableFollower(
@@ -78,6 +83,11 @@
         return members;
     }
 
+    /** Returns the processor time of the strongest daemon, in cores. */
+    double mostCores() {
+        return all().stream().mapToDouble(MemberRow::cores).max().orElse(mSelf.cores());
+    }
+
     MemberRow self() {
         return mSelf;
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -138,7 +138,7 @@
                                 List.of(""),
                                 JOBS_WAIT_MILLIS,
                                 WORKERS_PAUSE_MILLIS),
-                        new WorkerRows());
+                        new WorkerRows(settings.heartbeatMillis()));
     }
 
     /** Begins with the row by which this daemon became owner. */
@@ -373,10 +373,16 @@
     /** Takes in the list of workers. */
     private final class WorkerRows implements TableFollower.Listener {
         private final Set<String> mListed = new HashSet<>();
+        private final WorkerDepartures mDepartures;
+
+        WorkerRows(long heartbeatMillis) {
+            mDepartures = new WorkerDepartures(heartbeatMillis);
+        }
 
         @Override
         public void reset() {
             mListed.clear();
+            mDepartures.reset();
         }
 
         @Override
@@ -384,6 +390,7 @@
             String id = entry.key().name();
             if (entry.value() == null) {
                 mListed.remove(id);
+                mDepartures.removed(id);
                 mThread.execute(() -> mScheduler.unlisted(id));
                 return;
             }
@@ -392,6 +399,7 @@
                     .forEach(
                             worker -> {
                                 mListed.add(id);
+                                mDepartures.written(id, worker.draining());
                                 mThread.execute(() -> listed(worker));
                             });
         }
@@ -399,10 +407,12 @@
         @Override
         public void synced(long version, long storeMillis) {
             Set<String> listed = Set.copyOf(mListed);
+            List<String> left = mDepartures.read(storeMillis);
             mThread.execute(
                     () -> {
                         mWorkersRead = true;
                         mScheduler.retainListed(listed);
+                        left.forEach(PoolOwner.this::left);
                         readJobsIfRead();
                     });
         }
@@ -410,9 +420,15 @@
         @Override
         public void failed(TableError error) {
             // What was listed stays in use until the store answers again.
+            mDepartures.failed();
         }
     }
 
+    private void left(String worker) {
+        mScheduler.left(worker, "worker has left", mClock.millis());
+        pumpSoon();
+    }
+
     private void listed(WorkerEntry worker) {
         mScheduler.listed(worker, mClock.millis());
         pumpSoon();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
@@ -174,6 +174,10 @@
             mListener.lost("worker " + worker.id() + " refused: " + error.message());
             return;
         }
+        if (error.kind() == CallError.Kind.GONE) {
+            mScheduler.left(worker.id(), error.message(), mClock.millis());
+            mListener.reported();
+        }
         if (!poll.mSilent) {
             poll.mSilent = true;
             LOG.log(LogEvent.WORKER_SILENT, worker.id(), error.message());
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -221,6 +221,7 @@
     }
 
     private void campaign(long storeMillis) {
+        mElection.strongest(mMembers.mostCores());
         boolean wait = mPorts.clock().millis() < mNextCampaignMillis;
         boolean unready = mConfig.version() == 0 || storeMillis < 0;
         boolean unfit = mStopped || mOwner != null || mCampaigning || unready;
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ElectionTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ElectionTest.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.daemon.workflow;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -11,7 +12,12 @@
     private final Election mElection =
             new Election(
                     new WorkflowSettings(
-                            "a", "run-2", "127.0.0.1:1", new SchedulerLimits(6_000, 900, 2_500)),
+                            "a",
+                            "run-2",
+                            "127.0.0.1:1",
+                            new SchedulerLimits(6_000, 900, 2_500),
+                            1_500,
+                            0.36),
                     50);
 
     private static OwnerRow row(String owner, String incarnation, boolean released) {
@@ -64,6 +70,24 @@
         assertFalse(mElection.row().get().released());
     }
 
+    @Test
+    void aWeakDaemonLetsStrongerOnesGoFirst() {
+        long equal = mElection.staggerMillis();
+        mElection.strongest(0.36);
+        assertEquals(equal, mElection.staggerMillis());
+        mElection.strongest(1.5);
+        assertEquals(equal + Election.WEAK_MILLIS, mElection.staggerMillis());
+    }
+
+    @Test
+    void aWeakDaemonDoesNotTakeItsOwnRowBackAtOnce() {
+        mElection.strongest(1.5);
+        mElection.ownerRow(Option.some(row("a", "run-1", false)), 1);
+        assertFalse(mElection.shouldCampaign(1_000));
+        assertTrue(
+                mElection.shouldCampaign(1_000 + Election.DEAD_MILLIS + mElection.staggerMillis()));
+    }
+
     @Test
     void daemonsNearTheStoreGoFirst() {
         long far = mElection.staggerMillis();
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/CallError.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/CallError.java
@@ -22,7 +22,9 @@
         /** The connection broke after the first byte went out. */
         BROKEN,
         /** The local queue to the far side is full. */
-        BUSY
+        BUSY,
+        /** Something else answers at the address: what was there has ended. */
+        GONE
     }
 
     /** Returns a failure of which it is certain that nothing ran. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ApprovedPlacement.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ApprovedPlacement.java
@@ -35,6 +35,16 @@
     /** Longest call that is made to keep tickets valid for a step that finds no room yet. */
     static final double RENEW_CALL_MILLIS = 250;
 
+    /** Gangs, from the front of the line, for which room is made at a time. */
+    static final int MAX_GATHERING = 4;
+
+    /**
+     * Approved workers of which a step needs no more, if they hold its tasks so many times over.
+     */
+    static final int ENOUGH_WORKERS = 10;
+
+    static final int ENOUGH_TIMES = 3;
+
     /** Steps, from the front of the line, whose tickets are renewed while they find no room. */
     static final int MAX_RENEWED = 24;
 
@@ -42,6 +52,7 @@
     private final PlacementRound mRound;
     private final long mNowMillis;
     private int mWaiting;
+    private int mGathering;
 
     ApprovedPlacement(PoolState state, PlacementRound round, long nowMillis) {
         mState = state;
@@ -74,6 +85,9 @@
             return;
         }
         mWaiting++;
+        if (step.mSpec.gang() && !step.mReserved.isEmpty()) {
+            mGathering++;
+        }
         if (step.mApprovals.mayAsk(mNowMillis)) {
             askFor(step, left, approved, policy, approval);
         }
@@ -91,11 +105,12 @@
             ask(step, withOthers(step, wanted.values(), approved, approval), policy, approval);
             return;
         }
-        if (mRound.preempt(step, left, approved)) {
+        boolean gathers = !step.mSpec.gang() || ++mGathering <= MAX_GATHERING;
+        if (gathers && mRound.preempt(step, left, approved)) {
             ask(step, step.mReserved.keySet(), policy, approval);
             return;
         }
-        List<PoolWorker> unnamed = unnamed(step, policy);
+        List<PoolWorker> unnamed = isEnough(step, approved) ? List.of() : unnamed(step, policy);
         if (!unnamed.isEmpty()) {
             int count = Math.min(unnamed.size(), namedFor(step, left.size(), approved.size()));
             ask(step, unnamed.subList(0, count), policy, approval);
@@ -108,6 +123,19 @@
         }
     }
 
+    /** Returns whether a step can hope for room on the workers that it is approved for. */
+    private static boolean isEnough(Step step, List<PoolWorker> approved) {
+        if (approved.size() < ENOUGH_WORKERS) {
+            return false;
+        }
+        Room room = TaskPlan.roomOf(step.mSpec);
+        long tasks = 0;
+        for (PoolWorker worker : approved) {
+            tasks += TaskPlan.timesIn(room, worker.entry().capacity());
+        }
+        return tasks >= (long) ENOUGH_TIMES * step.mSpec.taskCount();
+    }
+
     /** Renews the tickets of a step that finds no room, before the last of them expires. */
     private void renew(
             Step step,
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -66,7 +66,8 @@
     }
 
     private void place(Step step, List<Task> tasks, QueuePolicy policy) {
-        if (!step.mReserved.isEmpty() && step.mReservedUntilMillis < mNowMillis) {
+        boolean expired = step.mReservedUntilMillis < mNowMillis && !step.mApprovals.isAsking();
+        if (!step.mReserved.isEmpty() && expired) {
             step.dropReservations();
         }
         if (policy.approval().isDefined()) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -142,7 +142,7 @@
         if (worker.isNewLife(entry.bornMillis())) {
             mRuns.newLife(worker, entry.bornMillis(), nowMillis);
         }
-        worker.update(entry);
+        worker.update(entry, nowMillis);
         worker.mListed = true;
     }
 
@@ -154,6 +154,15 @@
         }
     }
 
+    /** Takes note that a worker has left for good: what it ran has ended with it. */
+    public void left(String id, String reason, long nowMillis) {
+        PoolWorker worker = mState.mWorkers.get(id);
+        if (worker != null) {
+            worker.mListed = false;
+            mRuns.lost(worker, reason, nowMillis);
+        }
+    }
+
     /** Takes note that the platform lists these workers and no others. */
     public void retainListed(Collection<String> ids) {
         mState.mWorkers.values().forEach(worker -> worker.mListed &= ids.contains(worker.mId));
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -17,6 +17,7 @@
     final Map<Step, Room> mReserved = new HashMap<>();
     private final Map<TaskKey, Held> mHeld = new HashMap<>();
     private WorkerEntry mEntry;
+    private long mLeavesMillis;
     private Room mUsed = Room.NONE;
     boolean mListed;
     long mBornMillis;
@@ -40,8 +41,14 @@
         return mEntry;
     }
 
-    void update(WorkerEntry entry) {
+    void update(WorkerEntry entry, long nowMillis) {
         mEntry = entry;
+        mLeavesMillis = nowMillis + entry.remainingMillis();
+    }
+
+    /** Returns when a worker that drains may leave at the earliest. */
+    long leavesMillis() {
+        return mLeavesMillis;
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -60,9 +60,7 @@
     }
 
     private void running(Task task, long nowMillis) {
-        task.enter(Task.Phase.RUNNING, nowMillis);
-        task.mPercent = -1;
-        task.mPercentMillis = nowMillis;
+        task.begin(nowMillis);
         Workflow workflow = task.mStep.mWorkflow;
         if (workflow.mState == WorkflowState.PENDING) {
             workflow.mState = WorkflowState.ACTIVE;
@@ -168,10 +166,7 @@
         if (task.mPhase == Task.Phase.PLACED || task.mPhase == Task.Phase.INHERITED) {
             running(task, nowMillis);
         }
-        if (run.percent() != task.mPercent) {
-            task.mPercent = run.percent();
-            task.mPercentMillis = nowMillis;
-        }
+        task.progressed(run.percent(), nowMillis);
         return true;
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -7,6 +7,9 @@
 
 /** A task of a step, and where its present run is. */
 final class Task {
+    private static final int UNKNOWN_PERCENT = -1;
+    private static final int ALL_PERCENT = 100;
+
     final Step mStep;
     final TaskKey mKey;
     final Set<String> mFailedOn = new HashSet<>();
@@ -19,6 +22,8 @@
     long mPhaseMillis;
     int mPercent;
     long mPercentMillis;
+    private int mFirstPercent;
+    private long mFirstPercentMillis;
     long mStopSentMillis;
     long mStopAckMillis;
 
@@ -43,6 +48,36 @@
         DONE
     }
 
+    /** Takes note of a run that works, whose progress is not known yet. */
+    void begin(long nowMillis) {
+        enter(Phase.RUNNING, nowMillis);
+        mPercent = UNKNOWN_PERCENT;
+        mPercentMillis = nowMillis;
+    }
+
+    /** Takes note of the progress of the present run. */
+    void progressed(int percent, long nowMillis) {
+        if (percent == mPercent) {
+            return;
+        }
+        if (mPercent == UNKNOWN_PERCENT) {
+            mFirstPercent = percent;
+            mFirstPercentMillis = nowMillis;
+        }
+        mPercent = percent;
+        mPercentMillis = nowMillis;
+    }
+
+    /** Returns when the present run ends at the speed seen so far, or -1 if that is not known. */
+    long expectedEndMillis() {
+        int done = mPercent - mFirstPercent;
+        if (mPhase != Phase.RUNNING || mPercent == UNKNOWN_PERCENT || done <= 0) {
+            return -1;
+        }
+        long tookMillis = mPercentMillis - mFirstPercentMillis;
+        return mPercentMillis + tookMillis * (ALL_PERCENT - mPercent) / done;
+    }
+
     /** Returns whether the task occupies room on a worker. */
     boolean occupies() {
         return mWorker != null;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Upkeep.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Upkeep.java
@@ -15,12 +15,14 @@
     private final PoolState mState;
     private final RunTracker mRuns;
     private final WorkerTrust mTrust;
+    private final Evacuation mEvacuation;
     private final long mStartedMillis;
 
     Upkeep(PoolState state, RunTracker runs, WorkerTrust trust, long startedMillis) {
         mState = state;
         mRuns = runs;
         mTrust = trust;
+        mEvacuation = new Evacuation(state, runs);
         mStartedMillis = startedMillis;
     }
 
@@ -58,6 +60,7 @@
             mRuns.lost(worker, "leases lapsed", nowMillis);
             return;
         }
+        mEvacuation.run(worker, nowMillis);
         for (Task task : worker.tasks()) {
             watch(worker, task, nowMillis);
         }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -185,6 +185,43 @@
         assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
     }
 
+    // Load pattern: workers are taken away with notice while long runs are on them.
+    @Test
+    void runsThatWouldNotEndInTimeLeaveADrainingWorkerWithTheirProgress() {
+        SimulatedWorker leaving = mPool.worker("w0", 4_000);
+        mPool.submit(workflow("a", "batch", saving(step(2, 1_000, 8_000, false))));
+        mPool.run(2_500);
+        mPool.worker("w1", 4_000);
+        mPool.drain(leaving, 4_000);
+        mPool.run(1_500);
+        assertEquals(4, mPool.starts());
+    }
+
+    @Test
+    void runsThatEndInTimeStayOnADrainingWorker() {
+        SimulatedWorker leaving = mPool.worker("w0", 4_000);
+        mPool.submit(workflow("a", "batch", saving(step(2, 1_000, 4_000, false))));
+        mPool.run(2_500);
+        mPool.worker("w1", 4_000);
+        mPool.drain(leaving, 4_000);
+        mPool.run(3_000);
+        assertEquals(2, mPool.starts());
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+    }
+
+    @Test
+    void runsOfAWorkerThatHasLeftDoNotWaitForTheirLease() {
+        SimulatedWorker leaving = mPool.worker("w0", 4_000);
+        mPool.submit(workflow("a", "batch", step(2, 1_000, 500, false)));
+        mPool.run(100);
+        mPool.drain(leaving, 100);
+        mPool.run(200);
+        mPool.worker("w1", 4_000);
+        mPool.left(leaving);
+        mPool.run(1_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+    }
+
     @Test
     void aWorkerThatFailsEverythingDoesNotUseUpTheAttempts() {
         mPool.worker("w0", 1_000).failEverything(true);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -116,6 +116,18 @@
         mScheduler.unlisted(id);
     }
 
+    /** Lists a worker as one that leaves after some time. */
+    void drain(SimulatedWorker worker, long remainingMillis) {
+        worker.drain(remainingMillis);
+        mScheduler.listed(worker.entry(mNowMillis), mNowMillis);
+    }
+
+    /** Tells that a worker has left. */
+    void left(SimulatedWorker worker) {
+        mScheduler.left(worker.mId, "left", mNowMillis);
+        pump();
+    }
+
     void submit(WorkflowSpec spec) {
         mSpecs.put(spec.id(), spec);
         mSubmittedMillis.put(spec.id(), mNowMillis);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -29,6 +29,8 @@
     private final Map<TaskKey, Integer> mBarred = new HashMap<>();
     private final List<RunReport.Ended> mEnded = new ArrayList<>();
     private boolean mDown;
+    private boolean mDraining;
+    private long mLeavesMillis;
     private boolean mFails;
     private boolean mStalls;
     private boolean mDropsAnswers;
@@ -57,8 +59,8 @@
                 "r1",
                 List.of("a", "r1"),
                 mCapacity,
-                false,
-                0,
+                mDraining,
+                Math.max(0, mLeavesMillis - nowMillis),
                 nowMillis,
                 mBornMillis);
     }
@@ -72,6 +74,18 @@
         mDown = down;
     }
 
+    /** Announces that the worker leaves after some time, with everything that runs on it. */
+    void drain(long remainingMillis) {
+        mDraining = true;
+        mLeavesMillis = mPool.nowMillis() + remainingMillis;
+        mPool.at(
+                remainingMillis,
+                () -> {
+                    mRuns.clear();
+                    mDown = true;
+                });
+    }
+
     void failEverything(boolean fails) {
         mFails = fails;
     }
