Form a commit from all that has changed, so that no end counts as durable without its row

A commit formed between a report and the next round of placement noted the ends of that report but not the rows that they had changed; the ends were acknowledged, and were lost when the owner died before its next commit. Ruled out: a late commit of the former owner (its condition fails) and a partial reading of the rows (done under the new owner's row).

Change: OwnerCommits collects the changed workflows itself when it forms a commit.

OwnerCommitsTest failed first.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommits.java
@@ -142,13 +142,9 @@
         mShown.put(id, state);
     }
 
-    void add(List<String> changed, List<TaskStart> starts) {
-        mChanged.addAll(changed);
-        mStarts.addAll(starts);
-    }
-
     /** Commits if anything waits and no transaction is open. */
     void pump() {
+        collect();
         boolean due = mClock.millis() - mConfirmedMillis >= BEAT_MILLIS;
         if (mBusy || mClosed || (mChanged.isEmpty() && !due && !mReleasing)) {
             return;
@@ -156,6 +152,13 @@
         send(nextGroup());
     }
 
+    // Ends count as durable with the rows of a group, which is why a group that is formed has to
+    // know every workflow that they have changed.
+    private void collect() {
+        mChanged.addAll(mScheduler.effects().takeChanged());
+        mStarts.addAll(mScheduler.effects().takeStarts());
+    }
+
     /** Gives the ownership up with the last transaction. */
     void release() {
         mReleasing = true;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -253,7 +253,6 @@
                             + Math.max(ROUND_PAUSE_MILLIS, Math.min(TICK_MILLIS, pauseMillis));
         }
         Effects effects = mScheduler.effects();
-        mCommits.add(effects.takeChanged(), effects.takeStarts());
         effects.takeStops().forEach(stop -> mOrders.stop(stop, mCommits.epoch()));
         mApprovals.add(effects.takeApprovals());
         effects.takeDecisions().forEach(this::report);
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitsTest.java
@@ -0,0 +1,110 @@
+package org.hyssoprouter.daemon.workflow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.vavr.control.Either;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.hyssoprouter.daemon.metrics.WorkflowMeters;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.lib.workflow.EndKind;
+import org.hyssoprouter.lib.workflow.RunReport;
+import org.hyssoprouter.lib.workflow.StartOutcome;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.hyssoprouter.transport.PartitionTable;
+import org.junit.jupiter.api.Test;
+
+class OwnerCommitsTest {
+    private long mNowMillis = PlacedTask.NOW_MILLIS;
+    private final PlacedTask mPlaced = new PlacedTask();
+    private final PoolScheduler mScheduler = mPlaced.scheduler();
+    private final Table mTable = new Table();
+    private final OwnerCommits mCommits =
+            new OwnerCommits(
+                    mTable,
+                    mScheduler,
+                    new DirectTasks(),
+                    () -> mNowMillis,
+                    new Ignored(),
+                    new WorkflowMeters());
+
+    // The end of a run was acknowledged while its workflow's row was not written yet.
+    @Test
+    void anEndIsDurableOnlyWithTheRowOfItsWorkflow() {
+        mCommits.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        TaskStart order = mPlaced.order();
+        mCommits.pump();
+        mTable.answer();
+        mScheduler.started(order, StartOutcome.ACCEPTED, mNowMillis);
+        mNowMillis += OwnerCommits.BEAT_MILLIS;
+        RunReport.Ended end = new RunReport.Ended(1, order.task(), order.run(), EndKind.DONE, "");
+        RunReport report = new RunReport(mNowMillis, 1, List.of(), List.of(end));
+        mScheduler.reported(PlacedTask.WORKER, report, mNowMillis, mNowMillis);
+        mCommits.pump();
+        assertTrue(mTable.wrote(PlacedTask.WORKFLOW), "the commit holds the ended workflow");
+        mTable.answer();
+        assertEquals(1, mCommits.durableEnd(PlacedTask.WORKER));
+    }
+
+    /** Answers when it is told to. */
+    private static final class Table implements PartitionTable {
+        private final List<Batch> mBatches = new ArrayList<>();
+        private CompletableFuture<Either<Failure, Committed>> mOpen = new CompletableFuture<>();
+
+        void answer() {
+            CompletableFuture<Either<Failure, Committed>> open = mOpen;
+            mOpen = new CompletableFuture<>();
+            open.complete(Either.right(new Committed(mBatches.size() + 1, 0)));
+        }
+
+        /** Returns whether the last commit wrote a row of that name. */
+        boolean wrote(String name) {
+            Batch last = mBatches.get(mBatches.size() - 1);
+            return last.writes().stream().anyMatch(write -> write.name().equals(name));
+        }
+
+        @Override
+        public CompletableFuture<Either<Failure, Committed>> commit(Batch batch) {
+            mBatches.add(batch);
+            return mOpen;
+        }
+
+        @Override
+        public CompletableFuture<Either<TableError, Page>> read(Range range) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Either<TableError, Page>> changes(
+                String table, long after, long waitMillis) {
+            return new CompletableFuture<>();
+        }
+
+        @Override
+        public CompletableFuture<Either<TableError, List<String>>> partitions(String table) {
+            return new CompletableFuture<>();
+        }
+    }
+
+    private static final class Ignored implements OwnerCommits.Listener {
+        @Override
+        public void release(List<TaskStart> starts) {}
+
+        @Override
+        public void shown(Map<String, WorkflowState> states) {}
+
+        @Override
+        public void endsDurable() {}
+
+        @Override
+        public void lost(String reason) {}
+
+        @Override
+        public void released() {}
+    }
+}
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PlacedTask.java
@@ -0,0 +1,59 @@
+package org.hyssoprouter.daemon.workflow;
+
+import io.vavr.control.Option;
+import java.util.List;
+import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.internal.workflow.SchedulerLimits;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.PoolConfig;
+import org.hyssoprouter.lib.workflow.QueuePolicy;
+import org.hyssoprouter.lib.workflow.RunReport;
+import org.hyssoprouter.lib.workflow.StepSpec;
+import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
+
+/** A scheduler of one worker and one workflow of one task, for tests of what surrounds it. */
+final class PlacedTask {
+    static final long NOW_MILLIS = 1_000;
+    static final String WORKER = "w";
+    static final String WORKFLOW = "a";
+
+    private static final String QUEUE = "batch";
+    private static final String POOL = "pool";
+    private static final Room ROOM = new Room(1_000, 1, 0);
+
+    private final PoolScheduler mScheduler =
+            new PoolScheduler(new SchedulerLimits(6_000, 900, 2_500), 0);
+
+    PoolScheduler scheduler() {
+        return mScheduler;
+    }
+
+    /** Submits the workflow and returns the order to start its task; other effects are left. */
+    TaskStart order() {
+        QueuePolicy.Objective objective = new QueuePolicy.Objective(2, 1_000);
+        QueuePolicy queue =
+                new QueuePolicy(QUEUE, "host", "/batch/", POOL, 0, 3, objective, Option.none());
+        mScheduler.configure(new PoolConfig(1, List.of(queue), List.of(POOL)));
+        mScheduler.listed(
+                new WorkerEntry(WORKER, POOL, "w:1", "d", "r", List.of(), ROOM, false, 0, 0, 1),
+                NOW_MILLIS);
+        RunReport report = new RunReport(NOW_MILLIS, 1, List.of(), List.of());
+        mScheduler.reported(WORKER, report, NOW_MILLIS, NOW_MILLIS);
+        StepSpec step =
+                new StepSpec(
+                        1,
+                        ROOM,
+                        500,
+                        List.of(),
+                        false,
+                        StepSpec.Limits.NONE,
+                        StepSpec.Habits.PLAIN);
+        mScheduler.submitted(
+                new WorkflowSpec(WORKFLOW, QUEUE, "", List.of(step), WorkflowSpec.Schedule.ONCE),
+                NOW_MILLIS);
+        mScheduler.place(NOW_MILLIS);
+        return mScheduler.effects().takeStarts().get(0);
+    }
+}
