--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpCaller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpCaller.java
@@ -26,7 +26,10 @@
  */
 public final class HttpCaller implements Service {
     private static final int MAX_CALLS = 1024;
-    private static final int MAX_IDLE_CONNECTIONS = 256;
+
+    /** Two for each of 250 workers, and those to the store; with fewer, each call opens one. */
+    private static final int MAX_IDLE_CONNECTIONS = 1_024;
+
     // Short, so that a connection which a device in between has forgotten is seldom used again.
     private static final long IDLE_CONNECTION_SECONDS = 5;
     private static final long CONNECT_TIMEOUT_MILLIS = 1_000;
