--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/Cell.java
@@ -19,6 +19,8 @@
 import org.hyssoprouter.lib.JobView;
 import org.hyssoprouter.standin.executor.ExecutorHistory;
 import org.hyssoprouter.standin.platform.PlatformStats;
+import org.hyssoprouter.standin.process.ChildProcess;
+import org.hyssoprouter.standin.process.FreePorts;
 import org.hyssoprouter.standin.worker.WorkerHistory;
 import org.hyssoprouter.util.MessageCodec;
 import org.jspecify.annotations.Nullable;
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/CellPlan.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/CellPlan.java
@@ -8,6 +8,7 @@
 import org.hyssoprouter.lib.HostInfo;
 import org.hyssoprouter.lib.HostState;
 import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.standin.process.FreePorts;
 
 /**
  * What a {@link Cell} is to consist of.
--- a/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/DaemonProcess.java
+++ b/org.hyssoprouter.bench/src/main/java/org/hyssoprouter/bench/DaemonProcess.java
@@ -6,6 +6,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.hyssoprouter.standin.process.ChildProcess;
+import org.hyssoprouter.standin.process.FreePorts;
 
 /**
  * One daemon of a cell, with the process that runs it at present.
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/LayersTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/LayersTest.java
@@ -70,7 +70,10 @@
 
     @Test
     void nothingStartsAProcess() {
+        // The stand-ins are on the class path of the tests only.
         noClasses()
+                .that()
+                .resideOutsideOfPackage(ROOT + ".standin..")
                 .should()
                 .dependOnClassesThat()
                 .belongToAnyOf(ProcessBuilder.class, Process.class)
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
@@ -21,6 +21,7 @@
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.lib.Verdict;
+import org.hyssoprouter.standin.process.FaultProxy;
 import org.hyssoprouter.transport.PeerTransport;
 import org.hyssoprouter.util.MonotonicClock;
 import org.junit.jupiter.api.AfterEach;
@@ -105,7 +106,7 @@
     @Test
     void cutAfterTheCallMayHaveRun() throws Exception {
         serve((type, trafficClass, payload) -> new CompletableFuture<>());
-        try (Relay relay = new Relay(mServer.port())) {
+        try (FaultProxy relay = new FaultProxy(mServer.port())) {
             var result = call(relay.address(), TrafficClass.NORMAL, new byte[1], LONG_MILLIS);
             await().until(() -> mServer.counters().receivedBytes() > 0);
             relay.cut();
@@ -121,7 +122,7 @@
                     handled.add(payload);
                     return CompletableFuture.completedFuture(payload);
                 });
-        try (Relay relay = new Relay(mServer.port())) {
+        try (FaultProxy relay = new FaultProxy(mServer.port())) {
             relay.cutAfter(100_000);
             byte[] body = new byte[Reassembly.MAX_BODY_BYTES];
             var result = call(relay.address(), TrafficClass.NORMAL, body, LONG_MILLIS);
@@ -134,7 +135,7 @@
     @Test
     void silentConnectionIsClosedAndANewOneWorks() throws Exception {
         serve((type, trafficClass, payload) -> CompletableFuture.completedFuture(payload));
-        try (Relay relay = new Relay(mServer.port())) {
+        try (FaultProxy relay = new FaultProxy(mServer.port())) {
             get(call(relay.address(), TrafficClass.NORMAL, new byte[1], LONG_MILLIS)).get();
             relay.fallSilent();
             var lost = call(relay.address(), TrafficClass.NORMAL, new byte[1], LONG_MILLIS);
--- a/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/ChildProcess.java
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/ChildProcess.java
@@ -1,4 +1,4 @@
-package org.hyssoprouter.bench;
+package org.hyssoprouter.standin.process;
 
 import java.io.File;
 import java.io.IOException;
@@ -93,6 +93,11 @@
         signal("-CONT");
     }
 
+    /** Tells the process that its settings have changed (SIGHUP). */
+    public void hangUp() {
+        signal("-HUP");
+    }
+
     /** Waits for the end; returns whether it came in time. */
     public boolean waitForExit(int seconds) {
         try {
--- a/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/FaultProxy.java
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/FaultProxy.java
@@ -1,9 +1,8 @@
-package org.hyssoprouter.daemon.peer;
+package org.hyssoprouter.standin.process;
 
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -11,66 +10,131 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 
-/** Passes bytes between a client and a server, until it is told to fall silent or to cut. */
-final class Relay implements AutoCloseable {
+/**
+ * Passes bytes between clients and a server on loopback, and delays, loses or cuts them on order.
+ *
+ * @since 0.2
+ */
+public final class FaultProxy implements AutoCloseable {
+    private static final int BUFFER_BYTES = 16_384;
+    private static final int BACKLOG = 200;
+
     private final ServerSocket mListener;
     private final int mTargetPort;
-    private final List<Socket> mSockets = new CopyOnWriteArrayList<>();
-    private volatile boolean mSilent;
+    private final List<Link> mLinks = new CopyOnWriteArrayList<>();
     private final AtomicLong mForwardedBytes = new AtomicLong();
+    private volatile boolean mSilentToServer;
+    private volatile boolean mSilentToClient;
+    private volatile long mDelayMillis;
     private volatile long mCutAfterBytes = Long.MAX_VALUE;
 
-    Relay(int targetPort) throws IOException {
+    /** Opens a proxy to a port on loopback. */
+    public FaultProxy(int targetPort) throws IOException {
         mTargetPort = targetPort;
-        mListener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        mListener = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
         daemon(this::accept);
     }
 
-    String address() {
+    /** Returns {@code ip:port} that clients connect to. */
+    public String address() {
         return "127.0.0.1:" + mListener.getLocalPort();
     }
 
     /** Drops all bytes from now on, in both directions; connections stay open. */
-    void fallSilent() {
-        mSilent = true;
+    public void fallSilent() {
+        mSilentToServer = true;
+        mSilentToClient = true;
+    }
+
+    /** Drops what the server sends; what clients send arrives. */
+    public void fallSilentToClients() {
+        mSilentToClient = true;
+    }
+
+    /** Drops what clients send; what the server sends arrives. */
+    public void fallSilentToServer() {
+        mSilentToServer = true;
+    }
+
+    /** Loses track of the open connections, which stay open; new ones work. */
+    public void forgetOpen() {
+        mLinks.forEach(link -> link.mLost = true);
     }
 
-    /** Passes bytes of new connections again. */
-    void recover() {
-        mSilent = false;
+    /** Delays all bytes; 0 for not at all. */
+    public void delay(long millis) {
+        mDelayMillis = millis;
+    }
+
+    /** Passes bytes of new connections again, without delay. */
+    public void recover() {
+        mSilentToServer = false;
+        mSilentToClient = false;
+        mDelayMillis = 0;
     }
 
     /** Closes the connection once so many bytes have gone from client to server. */
-    void cutAfter(long bytes) {
+    public void cutAfter(long bytes) {
         mCutAfterBytes = bytes;
     }
 
-    void cut() {
-        mSockets.forEach(Relay::closeQuietly);
+    /** Closes all open connections. */
+    public void cut() {
+        mLinks.forEach(Link::close);
+    }
+
+    /** A connection of a client, and the one to the server that belongs to it. */
+    private static final class Link {
+        final Socket mClient;
+        final Socket mServer;
+        volatile boolean mLost;
+
+        Link(Socket client, Socket server) {
+            mClient = client;
+            mServer = server;
+        }
+
+        void close() {
+            close(mClient);
+            close(mServer);
+        }
+
+        private static void close(Socket socket) {
+            try {
+                socket.close();
+            } catch (IOException e) {
+                System.err.println("proxy: cannot close " + socket + ": " + e);
+            }
+        }
     }
 
     private void accept() throws IOException {
         while (!mListener.isClosed()) {
             Socket client = mListener.accept();
-            Socket server = new Socket(InetAddress.getLoopbackAddress(), mTargetPort);
-            mSockets.add(client);
-            mSockets.add(server);
-            daemon(() -> pass(client, server, true));
-            daemon(() -> pass(server, client, false));
+            try {
+                Link link =
+                        new Link(client, new Socket(InetAddress.getLoopbackAddress(), mTargetPort));
+                mLinks.add(link);
+                daemon(() -> pass(link, true));
+                daemon(() -> pass(link, false));
+            } catch (IOException e) {
+                // The server does not listen; its client sees the same.
+                client.close();
+            }
         }
     }
 
-    private void pass(Socket from, Socket to, boolean counted) throws IOException {
-        byte[] buffer = new byte[4096];
-        InputStream in = from.getInputStream();
-        OutputStream out = to.getOutputStream();
-        boolean lost = false;
+    private void pass(Link link, boolean toServer) throws IOException {
+        byte[] buffer = new byte[BUFFER_BYTES];
+        InputStream in = (toServer ? link.mClient : link.mServer).getInputStream();
+        OutputStream out = (toServer ? link.mServer : link.mClient).getOutputStream();
         int length = in.read(buffer);
         while (length >= 0) {
-            lost |= mSilent;
-            if (!lost) {
+            pause();
+            link.mLost |= toServer ? mSilentToServer : mSilentToClient;
+            if (!link.mLost) {
                 out.write(buffer, 0, length);
-                mForwardedBytes.addAndGet(counted ? length : 0);
+                mForwardedBytes.addAndGet(toServer ? length : 0);
             }
             if (mForwardedBytes.get() >= mCutAfterBytes) {
                 cut();
@@ -78,8 +142,17 @@
             length = in.read(buffer);
         }
         // A device that has lost track of a connection does not tell one end of the other's close.
-        if (!mSilent) {
-            to.close();
+        if (!link.mLost) {
+            link.close();
+            mLinks.remove(link);
+        }
+    }
+
+    private void pause() {
+        try {
+            Thread.sleep(mDelayMillis);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -90,6 +163,7 @@
                             try {
                                 body.run();
                             } catch (IOException e) {
+                                // A connection was closed, by an end or on order.
                                 Thread.currentThread().interrupt();
                             }
                         });
@@ -97,14 +171,6 @@
         thread.start();
     }
 
-    private static void closeQuietly(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            throw new UncheckedIOException(e);
-        }
-    }
-
     @Override
     public void close() throws IOException {
         mListener.close();
--- a/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/FreePorts.java
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/FreePorts.java
@@ -1,4 +1,4 @@
-package org.hyssoprouter.bench;
+package org.hyssoprouter.standin.process;
 
 import java.io.IOException;
 import java.net.InetAddress;
@@ -10,8 +10,10 @@
 /**
  * Finds free loopback ports below the range that the system gives to outgoing connections, so that
  * none is taken between its choice and its use by a connection of the cell itself.
+ *
+ * @since 0.1
  */
-final class FreePorts {
+public final class FreePorts {
     private static final byte[] LOOPBACK = {127, 0, 0, 1};
     private static final int FIRST = 10_000;
     private static final int COUNT = 20_000;
@@ -20,7 +22,7 @@
     private final Set<Integer> mTaken = new HashSet<>();
 
     /** Returns {@code 127.0.0.1:port} of a port that was free and not returned before. */
-    String nextAddress() {
+    public String nextAddress() {
         while (true) {
             int port = FIRST + mRandom.nextInt(COUNT);
             if (mTaken.add(port) && isFree(port)) {
