--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -11,7 +11,6 @@
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.daemon.ownership.TaskThread;
 import org.hyssoprouter.daemon.ownership.Tasks;
-import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.workflow.Effects;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.internal.workflow.WorkflowRow;
@@ -138,7 +137,11 @@
                                 List.of(""),
                                 JOBS_WAIT_MILLIS,
                                 WORKERS_PAUSE_MILLIS),
-                        new WorkerRows(settings.heartbeatMillis()));
+                        new WorkerList(
+                                ports.workers(),
+                                mThread,
+                                settings.heartbeatMillis(),
+                                new Workers()));
     }
 
     /** Begins with the row by which this daemon became owner. */
@@ -370,69 +373,32 @@
     }
 
     /** Takes in the list of workers. */
-    private final class WorkerRows implements TableFollower.Listener {
-        private final Set<String> mListed = new HashSet<>();
-        private final WorkerDepartures mDepartures;
-
-        WorkerRows(long heartbeatMillis) {
-            mDepartures = new WorkerDepartures(heartbeatMillis);
-        }
-
+    private final class Workers implements WorkerList.Listener {
         @Override
-        public void reset() {
-            mListed.clear();
-            mDepartures.reset();
+        public void listed(WorkerEntry worker) {
+            mScheduler.listed(worker, mClock.millis());
+            pumpSoon();
         }
 
         @Override
-        public void row(PartitionTable.Entry entry) {
-            String id = entry.key().name();
-            if (entry.value() == null) {
-                mListed.remove(id);
-                mDepartures.removed(id);
-                mThread.execute(() -> mScheduler.unlisted(id));
-                return;
-            }
-            mPorts.workers()
-                    .decode(entry)
-                    .forEach(
-                            worker -> {
-                                mListed.add(id);
-                                mDepartures.written(id, worker.draining());
-                                mThread.execute(() -> listed(worker));
-                            });
+        public void unlisted(String id) {
+            mScheduler.unlisted(id);
         }
 
         @Override
-        public void synced(long version, long storeMillis) {
-            Set<String> listed = Set.copyOf(mListed);
-            List<String> left = mDepartures.read(storeMillis);
-            mThread.execute(
-                    () -> {
-                        mWorkersRead = true;
-                        mScheduler.retainListed(listed);
-                        left.forEach(PoolOwner.this::left);
-                        readJobsIfRead();
-                    });
+        public void left(String id) {
+            mScheduler.left(id, "worker has left", mClock.millis());
+            pumpSoon();
         }
 
         @Override
-        public void failed(TableError error) {
-            // What was listed stays in use until the store answers again.
-            mDepartures.failed();
+        public void read(Set<String> ids) {
+            mWorkersRead = true;
+            mScheduler.retainListed(ids);
+            readJobsIfRead();
         }
     }
 
-    private void left(String worker) {
-        mScheduler.left(worker, "worker has left", mClock.millis());
-        pumpSoon();
-    }
-
-    private void listed(WorkerEntry worker) {
-        mScheduler.listed(worker, mClock.millis());
-        pumpSoon();
-    }
-
     /** Connects the parts. */
     private final class Events
             implements OwnerCommits.Listener, WorkerPolls.Listener, RunOrders.Listener {
