--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -64,6 +64,7 @@
     private boolean mPumping;
     private long mNextRoundMillis;
     private boolean mClosed;
+    private boolean mReleasing;
 
     /** What an owner needs of the daemon. */
     record Ports(
@@ -172,7 +173,9 @@
         mThread.execute(
                 () -> {
                     if (!mClosed) {
+                        mReleasing = true;
                         mOpen = false;
+                        mPolls.close();
                         mCommits.release();
                     }
                 });
@@ -277,7 +280,7 @@
     }
 
     private void open() {
-        if (mOpen || mClosed) {
+        if (mOpen || mClosed || mReleasing) {
             return;
         }
         mOpen = true;
