Pass callers' calls on while the store does not serve this daemon

Change: a daemon whose write is refused, or that the store has not answered for 1.2 s, passes the call to a peer that stores or answers it; a second peer is tried if the first has certainly not. Nothing is passed on twice. Its balancer's check still fails after 2.5 s.

PlatformDaemonTest.aDaemonThatTheStoreDoesNotServePassesItsCallsOn failed first.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -53,6 +53,8 @@
             5007, Level.INFO, "approval answered", "step", "named", "approved", "millis", "via"),
     /** A start was overtaken while its row was made durable. */
     RUN_WITHDRAWN(5008, Level.INFO, "start withdrawn", "task", "run", "worker", "epoch"),
+    /** A caller's call was passed on to another daemon. */
+    WORKFLOW_FORWARDED(5009, Level.INFO, "call passed on", "id", "kind", "peer", "answer"),
     /** This daemon became owner of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon is no longer owner of the pools. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -43,12 +43,15 @@
     /** Time without an answer of the store after which callers should go elsewhere. */
     private static final long SERVING_MILLIS = 2_500;
 
+    /** Time without an answer of the store after which calls are passed on: two slow readings. */
+    private static final long ANSWERING_MILLIS = 1_200;
+
     private final Ports mPorts;
     private final WorkflowSettings mSettings;
     private final Tasks mThread = new TaskThread("workflows");
     private final Members mMembers;
     private final WorkflowStates mStates;
-    private final WorkflowEntry mEntry;
+    private final ForwardingEntry mEntry;
     private final Election mElection;
     private @Nullable PoolOwner mOwner;
     private boolean mCampaigning;
@@ -91,12 +94,15 @@
                         ports.clock(),
                         mElection::roundTrip);
         mStates = new WorkflowStates(ports.table(), new OwnerRows(), ports.clock());
-        mEntry =
+        WorkflowEntry local =
                 new WorkflowEntry(
                         new WorkflowEntry.Ports(
                                 ports.table(), mThread, ports.clock(), ports.meters()),
                         mStates,
                         mElection::roundTrip);
+        mEntry =
+                new ForwardingEntry(
+                        local, () -> answeredWithin(ANSWERING_MILLIS), mMembers, ports.peers());
     }
 
     private static long spreadMillis(String name) {
@@ -110,8 +116,12 @@
 
     /** Returns whether this daemon can serve callers: the store has answered it lately. */
     public boolean isServing() {
+        return answeredWithin(SERVING_MILLIS);
+    }
+
+    private boolean answeredWithin(long millis) {
         long answeredMillis = mStates.answeredMillis();
-        return answeredMillis >= 0 && mPorts.clock().millis() - answeredMillis < SERVING_MILLIS;
+        return answeredMillis >= 0 && mPorts.clock().millis() - answeredMillis < millis;
     }
 
     @Override
@@ -168,6 +178,9 @@
         if (type == PeerCallType.MEMBER_PING.number()) {
             return CompletableFuture.completedFuture(payload);
         }
+        if (type == PeerCallType.WORKFLOW_CALL.number()) {
+            return mEntry.serve(payload);
+        }
         if (type != PeerCallType.APPROVAL.number()) {
             return CompletableFuture.failedFuture(
                     new IllegalArgumentException("call type " + type + " is not served here"));
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowEntry.java
@@ -142,6 +142,11 @@
                         });
     }
 
+    /** Returns whether a workflow is known to be over. */
+    boolean isOver(String id) {
+        return mStates.stateOf(id).exists(WorkflowState::isFinal);
+    }
+
     @Override
     public int pending(String queue) {
         return mStates.pending(queue);
--- /dev/null
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowReply.java
@@ -0,0 +1,35 @@
+package org.hyssoprouter.daemon.workflow;
+
+import io.vavr.control.Option;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Answer to a {@link WorkflowCall}; of its fields, the one that belongs to the call is set.
+ *
+ * @param submitted what became of a submission, or null
+ * @param known whether the state is certain
+ * @param state state, or null for no such workflow
+ * @param cancelled what became of a cancellation, or null
+ */
+record WorkflowReply(
+        @Nullable SubmitResult submitted,
+        boolean known,
+        @Nullable WorkflowState state,
+        WorkflowService.@Nullable CancelResult cancelled) {
+    static WorkflowReply of(SubmitResult result) {
+        return new WorkflowReply(result, false, null, null);
+    }
+
+    static WorkflowReply of(StateAnswer answer) {
+        return new WorkflowReply(null, answer.known(), answer.state().getOrNull(), null);
+    }
+
+    static WorkflowReply of(WorkflowService.CancelResult result) {
+        return new WorkflowReply(null, false, null, result);
+    }
+
+    StateAnswer toState() {
+        return new StateAnswer(known, Option.of(state));
+    }
+}
