Leave the runs of a worker's next life alone when its former one has left

Found by reading: an answer from another worker at the old address, or the removal of the old entry, could arrive after the worker had begun a new life under its identifier, whose runs would then have been placed a second time. What has left is now named by its start and address. PoolSchedulerTest.theEndOfAFormerLifeLeavesTheRunsOfTheNextOneAlone holds it.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -389,8 +389,8 @@
         }
 
         @Override
-        public void left(String id) {
-            mScheduler.left(id, "worker has left", mClock.millis());
+        public void left(WorkerEntry worker) {
+            mScheduler.left(worker, "worker has left", mClock.millis());
             pumpSoon();
         }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerDepartures.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerDepartures.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
 
 /**
  * Tells workers that have left from workers that are only silent, by the list in the table store. A
@@ -26,7 +27,7 @@
     private long mUnbrokenSinceMillis = UNKNOWN;
 
     /** An entry and a time of the store's clock that it was not written before. */
-    private record Entry(boolean draining, long notBeforeMillis) {}
+    private record Entry(WorkerEntry worker, long notBeforeMillis) {}
 
     /**
      * Creates the view of a reader that has read nothing.
@@ -50,9 +51,9 @@
         mUnbrokenSinceMillis = UNKNOWN;
     }
 
-    void written(String id, boolean draining) {
-        mEntries.put(id, new Entry(draining, mReadMillis));
-        mRemoved.remove(id);
+    void written(WorkerEntry worker) {
+        mEntries.put(worker.id(), new Entry(worker, mReadMillis));
+        mRemoved.remove(worker.id());
     }
 
     void removed(String id) {
@@ -65,15 +66,15 @@
      * @param storeMillis steady clock of the store at the reading
      * @return workers that have certainly left
      */
-    List<String> read(long storeMillis) {
+    List<WorkerEntry> read(long storeMillis) {
         if (mReadMillis == UNKNOWN || storeMillis - mReadMillis > UNBROKEN_MILLIS) {
             mUnbrokenSinceMillis = storeMillis;
         }
-        List<String> left = new ArrayList<>();
+        List<WorkerEntry> left = new ArrayList<>();
         for (String id : mRemoved) {
             Entry entry = mEntries.remove(id);
             if (entry != null && hasLeft(entry, storeMillis)) {
-                left.add(id);
+                left.add(entry.worker());
             }
         }
         mRemoved.clear();
@@ -83,7 +84,7 @@
 
     private boolean hasLeft(Entry entry, long storeMillis) {
         long sinceMillis = entry.notBeforeMillis();
-        return entry.draining()
+        return entry.worker().draining()
                 && sinceMillis != UNKNOWN
                 && mUnbrokenSinceMillis <= sinceMillis
                 && storeMillis - sinceMillis < SAFE_INTERVALS * mHeartbeatMillis;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerList.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerList.java
@@ -25,7 +25,7 @@
         void unlisted(String id);
 
         /** A worker has ended. */
-        void left(String id);
+        void left(WorkerEntry worker);
 
         /** A reading has ended, after which these workers are listed. */
         void read(Set<String> ids);
@@ -57,7 +57,7 @@
                 .forEach(
                         worker -> {
                             mListed.add(id);
-                            mDepartures.written(id, worker.draining());
+                            mDepartures.written(worker);
                             mThread.execute(() -> mListener.listed(worker));
                         });
     }
@@ -65,7 +65,7 @@
     @Override
     public void synced(long version, long storeMillis) {
         Set<String> listed = Set.copyOf(mListed);
-        List<String> left = mDepartures.read(storeMillis);
+        List<WorkerEntry> left = mDepartures.read(storeMillis);
         mThread.execute(
                 () -> {
                     mListener.read(listed);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPolls.java
@@ -175,7 +175,7 @@
             return;
         }
         if (error.kind() == CallError.Kind.GONE) {
-            mScheduler.left(worker.id(), error.message(), mClock.millis());
+            mScheduler.left(worker, error.message(), mClock.millis());
             mListener.reported();
         }
         if (!poll.mSilent) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -154,10 +154,19 @@
         }
     }
 
-    /** Takes note that a worker has left for good: what it ran has ended with it. */
-    public void left(String id, String reason, long nowMillis) {
-        PoolWorker worker = mState.mWorkers.get(id);
-        if (worker != null) {
+    /**
+     * Takes note that a life of a worker has ended for good, and what it ran with it. A later life
+     * under the same identifier is left alone.
+     *
+     * @param entry the life as it was listed last
+     */
+    public void left(WorkerEntry entry, String reason, long nowMillis) {
+        PoolWorker worker = mState.mWorkers.get(entry.id());
+        boolean same =
+                worker != null
+                        && worker.mBornMillis == entry.bornMillis()
+                        && worker.entry().address().equals(entry.address());
+        if (worker != null && same) {
             worker.mListed = false;
             mRuns.lost(worker, reason, nowMillis);
         }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -8,6 +8,7 @@
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.StepSpec;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.junit.jupiter.api.AfterEach;
@@ -222,6 +223,21 @@
         assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
     }
 
+    @Test
+    void theEndOfAFormerLifeLeavesTheRunsOfTheNextOneAlone() {
+        SimulatedWorker worker = mPool.worker("w0", 4_000);
+        WorkerEntry former = worker.entry(mPool.nowMillis());
+        mPool.run(100);
+        worker.restart();
+        mPool.run(1_500);
+        mPool.submit(workflow("a", "batch", step(2, 1_000, 500, false)));
+        mPool.run(100);
+        mPool.left(former);
+        mPool.run(2_000);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf("a"));
+        assertEquals(2, mPool.starts());
+    }
+
     @Test
     void aWorkerThatFailsEverythingDoesNotUseUpTheAttempts() {
         mPool.worker("w0", 1_000).failEverything(true);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -20,6 +20,7 @@
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.TaskStop;
+import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.jspecify.annotations.Nullable;
@@ -124,7 +125,12 @@
 
     /** Tells that a worker has left. */
     void left(SimulatedWorker worker) {
-        mScheduler.left(worker.mId, "left", mNowMillis);
+        left(worker.entry(mNowMillis));
+    }
+
+    /** Tells that a life of a worker has ended. */
+    void left(WorkerEntry life) {
+        mScheduler.left(life, "left", mNowMillis);
         pump();
     }
 
