Count tickets from their issue, and renew those of gangs whose approval is cheap

The owner was behind; it counted a ticket's validity from when it read the answer, not from its issue, and asked anew, worker by worker, for gangs of the urgent class, whose call takes 8 ms. Each refusal made it fall further behind.

Change: a ticket counts from the sending of its request and the expected time of the call; others that are approved are named along whenever that is cheap, for gangs, too, and their tickets are renewed. PoolSchedulerTest has both as load patterns (not run against the former code, which lacks the call's new parameter).

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -234,7 +234,7 @@
             mScheduler.notApproved(request, nowMillis);
         } else {
             lane.mFailures = 0;
-            mScheduler.approved(request, result.get(), nowMillis);
+            mScheduler.approved(request, result.get(), sentMillis, nowMillis);
         }
         mAnswered.run();
         pump();
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ApprovedPlacement.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ApprovedPlacement.java
@@ -102,7 +102,7 @@
         Map<Task, PoolWorker> wanted = mRound.plan(step, left, approved);
         if (!wanted.isEmpty()) {
             mRound.reserve(step, wanted);
-            ask(step, withOthers(step, wanted.values(), approved, approval), policy, approval);
+            ask(step, withOthers(wanted.values(), approved, approval), policy, approval);
             return;
         }
         boolean gathers = !step.mSpec.gang() || ++mGathering <= MAX_GATHERING;
@@ -118,7 +118,8 @@
         }
         if (step.mSpec.gang()) {
             mRound.claim(step, approved);
-        } else if (mWaiting <= MAX_RENEWED) {
+        }
+        if (mWaiting <= MAX_RENEWED) {
             renew(step, approved, policy, approval);
         }
     }
@@ -142,7 +143,7 @@
             List<PoolWorker> approved,
             QueuePolicy policy,
             QueuePolicy.Approval approval) {
-        Set<PoolWorker> named = withOthers(step, List.of(), approved, approval);
+        Set<PoolWorker> named = withOthers(List.of(), approved, approval);
         long callMillis = (long) approval.callMillis(named.size());
         long untilMillis = mNowMillis + TICKET_MARGIN_MILLIS + callMillis;
         boolean valid =
@@ -157,15 +158,9 @@
      * becomes free next.
      */
     private static Set<PoolWorker> withOthers(
-            Step step,
-            Iterable<PoolWorker> wanted,
-            List<PoolWorker> approved,
-            QueuePolicy.Approval approval) {
+            Iterable<PoolWorker> wanted, List<PoolWorker> approved, QueuePolicy.Approval approval) {
         Set<PoolWorker> named = new LinkedHashSet<>();
         wanted.forEach(named::add);
-        if (step.mSpec.gang() || approval.callMillis(named.size()) > RENEW_CALL_MILLIS) {
-            return named;
-        }
         for (PoolWorker worker : approved) {
             boolean cheap = approval.callMillis(named.size() + 1) <= RENEW_CALL_MILLIS;
             if (named.size() < MAX_NAMED && cheap) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -273,10 +273,20 @@
         mRuns.stopped(order, acknowledged, nowMillis);
     }
 
-    /** Takes in an answer of the approval service. */
-    public void approved(ApprovalRequest request, Approvals approvals, long nowMillis) {
+    /**
+     * Takes in an answer of the approval service. Its tickets may have been issued as soon as the
+     * call could take, long before a busy owner reads the answer.
+     *
+     * @param sentMillis when the request was sent
+     */
+    public void approved(
+            ApprovalRequest request, Approvals approvals, long sentMillis, long nowMillis) {
+        long issuedMillis = Math.min(nowMillis, sentMillis + (long) request.expectedMillis());
         findStep(request.step())
-                .forEach(step -> step.mApprovals.answered(request.workers(), approvals, nowMillis));
+                .forEach(
+                        step ->
+                                step.mApprovals.answered(
+                                        request.workers(), approvals, issuedMillis));
     }
 
     /** Takes note that a request for approval got no answer. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/StepApprovals.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/StepApprovals.java
@@ -39,13 +39,17 @@
         mAskAgainMillis = askAgainMillis;
     }
 
-    /** Takes in the answer on the workers that were named. */
-    void answered(Collection<String> named, Approvals answer, long nowMillis) {
+    /**
+     * Takes in the answer on the workers that were named.
+     *
+     * @param issuedMillis time at which the tickets were issued at the earliest
+     */
+    void answered(Collection<String> named, Approvals answer, long issuedMillis) {
         mAsking = false;
         mNamed.addAll(named);
         mApproved.removeAll(named);
         mApproved.addAll(answer.tickets().keySet());
-        long untilMillis = nowMillis + answer.validMillis();
+        long untilMillis = issuedMillis + answer.validMillis();
         answer.tickets().forEach((id, text) -> mTickets.put(id, new Ticket(text, untilMillis)));
     }
 
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolSchedulerTest.java
@@ -90,6 +90,31 @@
         assertTrue(mPool.tookMillis("waits") < 4_450, "took " + mPool.tookMillis("waits"));
     }
 
+    // Load pattern: a busy owner reads the answers of the approval service late.
+    @Test
+    void aTicketCountsFromItsIssueEvenIfItsAnswerIsReadLate() {
+        mPool.queue("brief", 0, 3, 0.9, new QueuePolicy.Approval(20, 0.2, 800));
+        mPool.lagBehindApprovals(600);
+        SimulatedWorker worker = mPool.worker("w0", 4_000);
+        mPool.submit(workflow("full", "batch", step(1, 4_000, 1_100, false)));
+        mPool.run(100);
+        mPool.submit(workflow("waits", "brief", step(1, 1_000, 300, false)));
+        mPool.run(6_000);
+        assertEquals(0, worker.ticketsRefused());
+    }
+
+    // Load pattern: small gangs wait in a full pool, each for the one worker that gets free.
+    @Test
+    void gangsWithCheapApprovalsKeepTheirTicketsWhileTheyWait() {
+        mPool.queue("slow", 0, 3, 0.9, new QueuePolicy.Approval(200, 1, 2_000));
+        workers(2);
+        mPool.submit(workflow("full", "batch", step(2, 4_000, 5_000, false)));
+        mPool.run(1_000);
+        mPool.submit(workflow("waits", "slow", step(1, 1_000, 300, true)));
+        mPool.run(8_000);
+        assertTrue(mPool.tookMillis("waits") < 4_450, "took " + mPool.tookMillis("waits"));
+    }
+
     // Load pattern: a gang wider than the approved part of the workers that one call names.
     @Test
     void aWideGangNamesEnoughWorkersAtOnce() {
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -17,6 +17,7 @@
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.StartOutcome;
+import org.hyssoprouter.lib.workflow.StepKey;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.TaskStop;
@@ -59,6 +60,8 @@
     private int mStarts;
     private int mAsked;
     private long mAnswerMillis = CALL_MILLIS;
+    private long mLagMillis;
+    private final Map<String, Long> mTicketUntil = new HashMap<>();
 
     /** Something that happens at a time. */
     private record Event(long atMillis, long order, Runnable action) {}
@@ -141,6 +144,26 @@
         pump();
     }
 
+    private Option<QueuePolicy.Approval> approvalOf(ApprovalRequest request) {
+        WorkflowSpec spec = mSpecs.get(request.step().workflow());
+        for (QueuePolicy queue : mQueues) {
+            if (spec != null && queue.name().equals(spec.queue())) {
+                return queue.approval();
+            }
+        }
+        return Option.none();
+    }
+
+    /** Lets the owner read answers of the approval service so long after they were given. */
+    void lagBehindApprovals(long millis) {
+        mLagMillis = millis;
+    }
+
+    /** Returns whether the ticket of a step for a worker is valid, if it has ever had one. */
+    boolean isTicketValid(String worker, StepKey step) {
+        return mTicketUntil.getOrDefault(worker + step, Long.MAX_VALUE) >= mNowMillis;
+    }
+
     /** Lets answers to starts take this time. */
     void answersAfter(long millis) {
         mAnswerMillis = millis;
@@ -254,7 +277,10 @@
         }
         for (ApprovalRequest request : effects.takeApprovals()) {
             mAsked++;
-            at((long) request.expectedMillis(), () -> approve(scheduler, request));
+            long sentMillis = mNowMillis;
+            at(
+                    (long) request.expectedMillis() + mLagMillis,
+                    () -> approve(scheduler, request, sentMillis));
         }
     }
 
@@ -301,7 +327,7 @@
         at(CALL_MILLIS, () -> scheduler.stopped(stop, done, mNowMillis));
     }
 
-    private void approve(PoolScheduler scheduler, ApprovalRequest request) {
+    private void approve(PoolScheduler scheduler, ApprovalRequest request, long sentMillis) {
         WorkflowSpec spec = mSpecs.get(request.step().workflow());
         double share = spec == null ? 0 : mApprovedShare.getOrDefault(spec.queue(), 1.0);
         Map<String, String> tickets = new HashMap<>();
@@ -311,7 +337,11 @@
                 tickets.put(worker, "ticket");
             }
         }
-        scheduler.approved(request, new Approvals(tickets, 2_000), mNowMillis);
+        long validMillis = approvalOf(request).map(it -> it.validMillis()).getOrElse(2_000L);
+        long issuedMillis = mNowMillis - mLagMillis;
+        tickets.keySet()
+                .forEach(id -> mTicketUntil.put(id + request.step(), issuedMillis + validMillis));
+        scheduler.approved(request, new Approvals(tickets, validMillis), sentMillis, mNowMillis);
         if (scheduler.equals(mScheduler)) {
             pump();
         }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -31,6 +31,7 @@
     private boolean mDown;
     private boolean mDraining;
     private long mLeavesMillis;
+    private int mTicketsRefused;
     private boolean mFails;
     private boolean mStalls;
     private boolean mDropsAnswers;
@@ -65,6 +66,11 @@
                 mBornMillis);
     }
 
+    /** Returns the number of starts whose ticket had expired. */
+    int ticketsRefused() {
+        return mTicketsRefused;
+    }
+
     boolean isDown() {
         return mDown;
     }
@@ -139,6 +145,10 @@
         if (workflow == null) {
             return StartOutcome.INVALID;
         }
+        if (!mPool.isTicketValid(mId, order.task().step())) {
+            mTicketsRefused++;
+            return StartOutcome.NO_TICKET;
+        }
         StepSpec spec = workflow.steps().get(order.task().step().step());
         check(order, spec);
         mPool.countStart();
