--- a/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/FaultProxy.java
+++ b/org.hyssoprouter.standin/src/main/java/org/hyssoprouter/standin/process/FaultProxy.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
+import java.net.ConnectException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -111,16 +112,19 @@
     private void accept() throws IOException {
         while (!mListener.isClosed()) {
             Socket client = mListener.accept();
-            try {
-                Link link =
-                        new Link(client, new Socket(InetAddress.getLoopbackAddress(), mTargetPort));
-                mLinks.add(link);
-                daemon(() -> pass(link, true));
-                daemon(() -> pass(link, false));
-            } catch (IOException e) {
-                // The server does not listen; its client sees the same.
-                client.close();
-            }
+            daemon(() -> connect(client));
+        }
+    }
+
+    private void connect(Socket client) throws IOException {
+        try {
+            Link link = new Link(client, new Socket(InetAddress.getLoopbackAddress(), mTargetPort));
+            mLinks.add(link);
+            daemon(() -> pass(link, true));
+            pass(link, false);
+        } catch (ConnectException e) {
+            // The server does not listen; its client sees the same.
+            client.close();
         }
     }
 
