Give up workflows whose tasks crash one worker after another

Callers saw sound work lost again and again: a task that crashes its executor was placed again at once, on a worker full of other work, without end.

Crashes are now counted by task, in the durable row of its workflow, which is written before the start that relies on it; a new owner reads it. Runs that had lasted for less than 500 ms of reports at a crash become suspects; older ones only if there are none. Suspects run on trial on the emptiest workers, where nothing else starts meanwhile: after one crash up to four steps together, after two a step by itself, beside runs that have lasted. Workers that drained, and listed ones that are silent, do not count as crashed. The reason is in the run row, in E5010, in hyssop_workflows_given_up_total and in GET /v1/jobs/ID/explain on the metrics address.

CrashTrackerTest on the code before: four of five tests fail (the workflow is still active after 30 to 60 s); the fifth, crashes for other causes, passes before and after.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -62,6 +62,8 @@
     RUN_START_WITHDRAWN(5008, Level.INFO, "run start withdrawn", "task", "run", "worker", "epoch"),
     /** A caller's call was forwarded to another daemon. */
     WORKFLOW_FORWARDED(5009, Level.INFO, "call forwarded to peer", "id", "kind", "peer", "answer"),
+    /** A workflow has failed because its tasks crash workers. */
+    WORKFLOW_GIVEN_UP(5010, Level.WARNING, "workflow given up", "id", "queue", "reason"),
     /** This daemon acquired the ownership of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon released or lost the ownership of the pools. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
@@ -67,6 +67,11 @@
         counter("hyssop.decisions", "what", kind).increment();
     }
 
+    /** Counts a workflow that has failed because its tasks crash workers. */
+    public void countGivenUpWorkflow(String queue) {
+        counter("hyssop.workflows.given.up", "queue", mQueueLabels.limit(queue)).increment();
+    }
+
     /** Counts an ownership that was released before its pools were open. */
     public void countUnopenedOwnership() {
         counter("hyssop.owner.unopened").increment();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -281,6 +281,7 @@
         output.takeStops().forEach(stop -> mRunDispatcher.sendStop(stop, mCommitter.epoch()));
         mApprovalDispatcher.enqueue(output.takeApprovalRequests());
         output.takeDecisions().forEach(this::logDecision);
+        output.takeGivenUp().forEach(this::logGivenUp);
         mApprovalDispatcher.dispatch();
         mCommitter.commitIfDue();
         mWorkerPoller.pollDueWorkers();
@@ -296,6 +297,11 @@
         LOG.log(LogEvent.DECISION, decision.subject(), decision.action(), decision.inputs());
     }
 
+    private void logGivenUp(SchedulerOutput.GivenUp givenUp) {
+        mPorts.meters().countGivenUpWorkflow(givenUp.queue());
+        LOG.log(LogEvent.WORKFLOW_GIVEN_UP, givenUp.workflow(), givenUp.queue(), givenUp.reason());
+    }
+
     private void startJobFollowerIfReady() {
         if (!mJobFollowerStarted && mRunsRead && mWorkersRead) {
             mJobFollowerStarted = true;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
@@ -28,6 +28,9 @@
      */
     private static final long BUSY_POLL_WAIT_MILLIS = 1_000;
 
+    /** Time for which a worker with a run on trial may hold back its answer. */
+    private static final long TRIAL_POLL_WAIT_MILLIS = 250;
+
     /** Time for which an idle worker may hold back its answer; the maximum of the platform. */
     private static final long IDLE_POLL_WAIT_MILLIS = 1_000;
 
@@ -132,8 +135,7 @@
         // lease from ever expiring.
         boolean mayRenew = committedRecently && !poll.mUnresponsive;
         long deadlineMillis = mayRenew ? mScheduler.grantLease(worker.id(), sentMillis) : 0;
-        long waitMillis =
-                mScheduler.isBusy(worker.id()) ? BUSY_POLL_WAIT_MILLIS : IDLE_POLL_WAIT_MILLIS;
+        long waitMillis = waitMillis(worker);
         boolean firstRenewal = mayRenew && deadlineMillis == 0;
         // A worker that is excluded until its next report should send it at once.
         boolean reportAtOnce = firstRenewal || poll.mUnresponsive || !areEndsDurable(worker.id());
@@ -156,6 +158,13 @@
                                                                 worker, poll, result, sentMillis)));
     }
 
+    private long waitMillis(WorkerEntry worker) {
+        if (mScheduler.hasTrials(worker.id())) {
+            return TRIAL_POLL_WAIT_MILLIS;
+        }
+        return mScheduler.isBusy(worker.id()) ? BUSY_POLL_WAIT_MILLIS : IDLE_POLL_WAIT_MILLIS;
+    }
+
     private static Either<CallError, RunReport> brokenCall(String reason) {
         return Either.left(CallError.mayHaveRun(CallError.Kind.BROKEN, reason));
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -11,6 +11,8 @@
 import org.hyssoprouter.daemon.ownership.SerialExecutor;
 import org.hyssoprouter.daemon.ownership.SingleThreadExecutor;
 import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.internal.workflow.WorkflowRow;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.lib.workflow.ApprovalRequest;
 import org.hyssoprouter.lib.workflow.ApprovalTickets;
@@ -128,6 +130,15 @@
         return mService;
     }
 
+    /**
+     * Reads the durable state of a workflow and the reason why it has ended.
+     *
+     * @return row of the workflow; none if no task of it was placed yet or it does not exist
+     */
+    public CompletableFuture<Either<TableError, Option<WorkflowRow>>> readRow(String id) {
+        return RunRowReader.read(mPorts.table(), id);
+    }
+
     /**
      * Returns whether this daemon can serve callers, that is, whether the store has answered
      * recently.
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
@@ -75,7 +75,7 @@
         boolean previousLeasesExpired =
                 nowMillis - mOwnershipStartMillis > mState.mLimits.leaseExpiryMillis();
         if (neverReported ? previousLeasesExpired : worker.mClock.allLeasesExpired(nowMillis)) {
-            mRuns.handleLostRuns(worker, "leases lapsed", nowMillis);
+            mRuns.handleLostRuns(worker, WorkerLoss.presumed("leases lapsed"), nowMillis);
             return;
         }
         mDrainer.stopUnfinishableRuns(worker, nowMillis);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -38,6 +38,10 @@
     private final ApprovedPlacement mApprovedPlacement;
     private final RoundLimits mLimits;
     private int mClaimingGangs;
+
+    /** Number of workers that start nothing else in this round, so that a trial can begin. */
+    private int mTrialClaims;
+
     private int mStartingSteps;
     private int mStartedRuns;
 
@@ -50,7 +54,11 @@
     }
 
     /** A waiting step and the policy that determines its position in the round. */
-    private record QueuedStep(Step step, QueuePolicy policy) {}
+    private record QueuedStep(Step step, QueuePolicy policy, boolean isTrial) {
+        QueuedStep(Step step, QueuePolicy policy) {
+            this(step, policy, step.waitingCrashes() > 0);
+        }
+    }
 
     /** Runs the round. */
     void run() {
@@ -60,7 +68,8 @@
                     .forEach(policy -> waitingSteps.add(new QueuedStep(step, policy)));
         }
         waitingSteps.sort(
-                Comparator.comparingInt((QueuedStep queued) -> queued.policy().priority())
+                Comparator.comparing((QueuedStep queued) -> !queued.isTrial())
+                        .thenComparingInt(queued -> queued.policy().priority())
                         .thenComparingLong(queued -> queued.step().mWorkflow.mAddedMillis));
         for (QueuedStep queued : waitingSteps) {
             if (mStartingSteps >= mLimits.steps() || mStartedRuns >= mLimits.runs()) {
@@ -113,7 +122,8 @@
         Step claimant = mClaims.isEmpty() ? null : mClaims.get(worker);
         return (claimant == null || claimant.equals(step))
                 && worker.matchesLabel(step.mSpec)
-                && !step.isExcluded(worker.mId, mNowMillis);
+                && !step.isExcluded(worker.mId, mNowMillis)
+                && TrialPlacement.accepts(worker, step, step.waitingCrashes());
     }
 
     /** Returns whether a worker belongs to a pool and accepts new runs. */
@@ -192,7 +202,22 @@
 
     /** Chooses workers for tasks within the room that is free now. */
     Map<Task, PoolWorker> plan(Step step, List<Task> tasks, List<PoolWorker> candidates) {
-        return WorkerSelector.select(step, tasks, candidates, worker -> worker.freeFor(step));
+        boolean isTrial = !step.mSpec.gang() && step.waitingCrashes() > 0;
+        if (!isTrial) {
+            return WorkerSelector.select(step, tasks, candidates, it -> it.freeFor(step));
+        }
+        List<PoolWorker> pool =
+                mState.policyOf(step.mWorkflow)
+                        .map(policy -> schedulableWorkers(policy.pool()))
+                        .getOrElse(List.of());
+        Map<Task, PoolWorker> plan = TrialPlacement.select(step, tasks, candidates, pool);
+        if (plan.isEmpty() && TrialPlacement.mayUseFurther(pool, mTrialClaims)) {
+            for (PoolWorker worker : TrialPlacement.workerToClear(step, candidates)) {
+                mClaims.putIfAbsent(worker, step);
+                mTrialClaims++;
+            }
+        }
+        return plan;
     }
 
     /** Starts a new run of each task in a plan on the worker chosen for it. */
@@ -208,9 +233,7 @@
         Room room = WorkerSelector.requiredRoom(step.mSpec);
         plan.forEach(
                 (task, worker) -> {
-                    task.mRun = runs.getOrDefault(task, task.mRun + 1);
-                    task.mWorker = worker;
-                    task.setPhase(Task.Phase.PLACED, mNowMillis);
+                    task.beginRun(runs.getOrDefault(task, task.mRun + 1), worker, mNowMillis);
                     worker.allocate(task, room);
                     mState.mOutput.addStart(startOrder(step, task, worker));
                 });
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -89,6 +89,7 @@
     public void restoreWorkflow(WorkflowSpec spec, WorkflowRow row, long nowMillis) {
         Workflow workflow = new Workflow(spec, nowMillis);
         workflow.mState = row.state();
+        workflow.mReason = row.reason();
         workflow.mEndedOccurrences.addAll(row.endedOccurrences());
         mState.mWorkflows.put(spec.id(), workflow);
         if (row.state().isFinal()) {
@@ -121,14 +122,14 @@
             Task task = step.mTasks.get(taskRow.index());
             task.mRun = taskRow.run();
             task.mFailures = taskRow.failures();
+            task.mCrashes = taskRow.crashes();
             task.mCheckpoint = taskRow.checkpoint();
             if (taskRow.done()) {
                 task.setPhase(Task.Phase.DONE, nowMillis);
             } else if (!taskRow.worker().isEmpty()) {
                 PoolWorker worker = restoredWorker(taskRow.worker());
-                task.mWorker = worker;
+                task.inheritRun(worker, nowMillis);
                 worker.allocate(task, WorkerSelector.requiredRoom(step.mSpec));
-                task.setPhase(Task.Phase.INHERITED, nowMillis);
             }
         }
     }
@@ -179,7 +180,7 @@
                         && worker.entry().address().equals(entry.address());
         if (worker != null && sameIncarnation) {
             worker.mListed = false;
-            mRuns.handleLostRuns(worker, reason, nowMillis);
+            mRuns.handleLostRuns(worker, WorkerLoss.ended(reason), nowMillis);
         }
     }
 
@@ -220,6 +221,12 @@
         return entries;
     }
 
+    /** Returns whether runs on a worker have yet to show that they do not crash it. */
+    public boolean hasTrials(String workerId) {
+        PoolWorker worker = mState.mWorkers.get(workerId);
+        return worker != null && !worker.tasksOnTrial().isEmpty();
+    }
+
     /** Returns whether a worker has active runs or runs that are about to start. */
     public boolean isBusy(String workerId) {
         PoolWorker worker = mState.mWorkers.get(workerId);
@@ -302,6 +309,7 @@
             mRuns.handleStartOutcome(order, StartOutcome.NO_TICKET, nowMillis);
             return false;
         }
+        task.markStartSent();
         return true;
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -28,6 +28,10 @@
     private final Map<Step, Room> mReserved = new HashMap<>();
 
     private final Map<TaskKey, Allocation> mAllocations = new HashMap<>();
+
+    /** Tasks with room allocated here that may have crashed another worker. */
+    private final Set<Task> mSuspects = new HashSet<>();
+
     private WorkerEntry mEntry;
     private long mEarliestDepartureMillis;
 
@@ -100,12 +104,16 @@
         release(task.mKey);
         mAllocations.put(task.mKey, new Allocation(task, room));
         mFree = mFree.minus(room);
+        if (task.isSuspect()) {
+            mSuspects.add(task);
+        }
     }
 
     void release(TaskKey key) {
         Allocation allocation = mAllocations.remove(key);
         if (allocation != null) {
             mFree = mFree.plus(allocation.room());
+            mSuspects.remove(allocation.task());
         }
     }
 
@@ -150,6 +158,30 @@
         return mAllocations.isEmpty();
     }
 
+    /** Returns the tasks that are on trial here. */
+    List<Task> tasksOnTrial() {
+        return mSuspects.isEmpty()
+                ? List.of()
+                : mSuspects.stream().filter(Task::isOnTrial).toList();
+    }
+
+    /** Returns the number of runs of other steps that have not lasted for a trial yet. */
+    int countRecentRuns(Step step) {
+        int count = 0;
+        for (Allocation allocation : mAllocations.values()) {
+            Task task = allocation.task();
+            if (!task.hasPassedTrial() && !task.mStep.equals(step)) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the number of runs with room allocated here. */
+    int runCount() {
+        return mAllocations.size();
+    }
+
     /** Returns the room that is neither allocated nor reserved for another step. */
     Room freeFor(Step step) {
         Room reserved = mReserved.isEmpty() ? null : mReserved.get(step);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -23,10 +23,12 @@
 
     private final PoolState mState;
     private final WorkerHealthTracker mHealth;
+    private final CrashTracker mCrashes;
 
     RunTracker(PoolState state, WorkerHealthTracker health) {
         mState = state;
         mHealth = health;
+        mCrashes = new CrashTracker(state);
     }
 
     /**
@@ -145,7 +147,7 @@
         }
         boolean unknownRuns = false;
         for (RunReport.Running run : report.running()) {
-            unknownRuns |= !handleReportedRun(worker, run, nowMillis);
+            unknownRuns |= !handleReportedRun(worker, run, report.clockMillis(), nowMillis);
         }
         if (unknownRuns) {
             // A run without an allocation here uses an unknown amount of room.
@@ -182,20 +184,23 @@
         worker.mClock.reset();
         mState.mWaitingSteps.forEach(step -> step.mApprovals.dropTicket(worker.mId));
         List<Task> lost = worker.tasks().stream().filter(isActive.negate()).toList();
-        handleLostRuns(worker, lost, "worker restarted", nowMillis);
+        handleLostRuns(worker, lost, WorkerLoss.ended("worker restarted"), nowMillis);
     }
 
     /** Requeues all tasks on a worker whose runs are lost. */
-    void handleLostRuns(PoolWorker worker, String reason, long nowMillis) {
-        handleLostRuns(worker, worker.tasks(), reason, nowMillis);
+    void handleLostRuns(PoolWorker worker, WorkerLoss loss, long nowMillis) {
+        handleLostRuns(worker, worker.tasks(), loss, nowMillis);
     }
 
     private void handleLostRuns(
-            PoolWorker worker, List<Task> tasks, String reason, long nowMillis) {
+            PoolWorker worker, List<Task> tasks, WorkerLoss loss, long nowMillis) {
+        mCrashes.recordLoss(worker, tasks, loss, nowMillis);
         for (Task task : tasks) {
             task.mStep.mApprovals.dropTicket(worker.mId);
             mState.mOutput.recordDecision(
-                    task.mKey, "run lost", "worker=" + worker + " run=" + task.mRun + " " + reason);
+                    task.mKey,
+                    "run lost",
+                    "worker=" + worker + " run=" + task.mRun + " " + loss.reason());
             abortGang(task, "member lost", nowMillis);
             requeue(task, nowMillis);
             // Otherwise a new owner would wait for the worker's leases to expire once more.
@@ -204,12 +209,14 @@
     }
 
     /** Updates the task of a reported run. Returns false if the run has no allocation here. */
-    private boolean handleReportedRun(PoolWorker worker, RunReport.Running run, long nowMillis) {
+    private boolean handleReportedRun(
+            PoolWorker worker, RunReport.Running run, long workerMillis, long nowMillis) {
         Task task = worker.task(run.task());
         if (task == null || task.mRun != run.run()) {
             mState.sendStop(worker, run.task(), run.run(), "run not placed on this worker");
             return false;
         }
+        task.recordListed(workerMillis);
         task.mStep.saveCheckpoint(task, run.checkpoint());
         if (task.mStep.mWorkflow.mState.isFinal() && task.mPhase != Task.Phase.STOPPING) {
             mState.stopRun(task, "workflow has ended", nowMillis);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/SchedulerOutput.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/SchedulerOutput.java
@@ -20,6 +20,7 @@
     private final List<TaskStop> mStops = new ArrayList<>();
     private final List<ApprovalRequest> mApprovalRequests = new ArrayList<>();
     private final List<Decision> mDecisions = new ArrayList<>();
+    private final List<GivenUp> mGivenUp = new ArrayList<>();
     private final Set<String> mChangedWorkflows = new LinkedHashSet<>();
 
     /**
@@ -31,6 +32,15 @@
      */
     public record Decision(String subject, String action, String inputs) {}
 
+    /**
+     * Workflow that has failed because its tasks crash workers.
+     *
+     * @param workflow identifier of the workflow
+     * @param queue name of its queue
+     * @param reason task, number of crashes and last worker
+     */
+    public record GivenUp(String workflow, String queue, String reason) {}
+
     void addStart(TaskStart order) {
         mStarts.add(order);
     }
@@ -51,6 +61,15 @@
         mDecisions.add(new Decision(subject.toString(), action, inputs));
     }
 
+    void addGivenUp(Workflow workflow, String reason) {
+        mGivenUp.add(new GivenUp(workflow.id(), workflow.mSpec.queue(), reason));
+    }
+
+    /** Removes and returns the workflows that have failed because their tasks crash workers. */
+    public List<GivenUp> takeGivenUp() {
+        return take(mGivenUp);
+    }
+
     /** Removes and returns the start orders. */
     public List<TaskStart> takeStarts() {
         return take(mStarts);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -53,15 +53,35 @@
         return count;
     }
 
-    /** Returns the tasks that wait for a run. For a gang, returns none unless all members wait. */
+    /**
+     * Returns the tasks that wait for a run and may get one now. For a gang, returns none unless
+     * all members wait. Other steps start their suspects first, as their tasks are much alike.
+     */
     List<Task> placeableTasks() {
         List<Task> waiting = new ArrayList<>();
+        boolean hasTrials = false;
         for (Task task : mTasks) {
             if (task.mPhase == Task.Phase.WAITING) {
                 waiting.add(task);
             }
+            hasTrials |= task.isOnTrial();
         }
-        return mSpec.gang() && waiting.size() < mTasks.size() ? List.of() : waiting;
+        if (mSpec.gang()) {
+            return waiting.size() < mTasks.size() ? List.of() : waiting;
+        }
+        List<Task> suspects = waiting.stream().filter(Task::isSuspect).toList();
+        return suspects.isEmpty() && !hasTrials ? waiting : suspects;
+    }
+
+    /** Returns the highest number of crashes that are blamed on a task that waits for a run. */
+    int waitingCrashes() {
+        int crashes = 0;
+        for (Task task : mTasks) {
+            if (task.mPhase == Task.Phase.WAITING) {
+                crashes = Math.max(crashes, task.mCrashes);
+            }
+        }
+        return crashes;
     }
 
     /** Returns the number of a task's next run. The members of a gang share run numbers. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -22,6 +22,10 @@
     int mRun;
 
     int mFailures;
+
+    /** Number of crashes of workers that runs of this task may have caused. */
+    int mCrashes;
+
     int mPreemptions;
     String mCheckpoint = "";
     @Nullable PoolWorker mWorker;
@@ -39,6 +43,15 @@
     long mStopSentMillis;
     long mStopAckMillis;
 
+    /** Whether the start of the current run may have reached its worker. */
+    private boolean mStartSent;
+
+    /** Whether the current run has lasted for the duration of a trial. */
+    private boolean mTrialPassed;
+
+    /** Worker's clock at the first report that listed the current run; -1 before. */
+    private long mFirstListedMillis = -1;
+
     Task(Step step, int index) {
         mStep = step;
         mKey = new TaskKey(step.mKey, index);
@@ -106,6 +119,63 @@
         return mStopAckMillis > 0 && mStopAckMillis < millis;
     }
 
+    /** Begins a run on a worker, whose start is yet to be sent. */
+    void beginRun(int run, PoolWorker worker, long nowMillis) {
+        mRun = run;
+        mWorker = worker;
+        mStartSent = false;
+        mTrialPassed = false;
+        mFirstListedMillis = -1;
+        setPhase(Phase.PLACED, nowMillis);
+    }
+
+    /** Takes over a run that a previous owner may have started. */
+    void inheritRun(PoolWorker worker, long nowMillis) {
+        beginRun(mRun, worker, nowMillis);
+        mStartSent = true;
+        setPhase(Phase.INHERITED, nowMillis);
+    }
+
+    void markStartSent() {
+        mStartSent = true;
+    }
+
+    /** Returns whether the worker may have begun the current run. */
+    boolean mayHaveBegun() {
+        return mWorker != null && mStartSent && mPhase != Phase.DONE;
+    }
+
+    /**
+     * Records that a report lists the current run.
+     *
+     * @param workerMillis worker's clock at the report, in milliseconds
+     */
+    void recordListed(long workerMillis) {
+        if (mFirstListedMillis < 0) {
+            mFirstListedMillis = workerMillis;
+        }
+        long listedMillis = workerMillis - mFirstListedMillis;
+        mTrialPassed |= listedMillis >= CrashTracker.TRIAL_MILLIS;
+        if (listedMillis >= CrashTracker.SOUND_RUN_MILLIS) {
+            mCrashes = 0;
+        }
+    }
+
+    /** Returns whether the current run has lasted for the duration of a trial. */
+    boolean hasPassedTrial() {
+        return mTrialPassed;
+    }
+
+    /** Returns whether a run of this task may have crashed a worker. */
+    boolean isSuspect() {
+        return mCrashes > 0;
+    }
+
+    /** Returns whether the current run is one of a suspect and has not passed its trial yet. */
+    boolean isOnTrial() {
+        return mWorker != null && isSuspect() && !mTrialPassed && mPhase != Phase.DONE;
+    }
+
     /** Returns whether the task has room allocated on a worker. */
     boolean occupies() {
         return mWorker != null;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerSelector.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerSelector.java
@@ -98,6 +98,10 @@
     private static Comparator<Candidate> candidateOrder(Step step, List<Candidate> candidates) {
         StepSpec.Limits limits = step.mSpec.limits();
         String preferred = limits.preferredRack();
+        if (!step.mSpec.gang() && step.waitingCrashes() > 0) {
+            // Another crash should end as few other runs as possible.
+            return Comparator.comparingInt((Candidate it) -> it.worker().runCount());
+        }
         Comparator<Candidate> byFreeCpu = Comparator.comparingLong(Candidate::freeCpuMillis);
         Comparator<Candidate> order = byFreeCpu;
         if (limits.sameRack()) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Objects;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 
 /**
@@ -12,11 +13,21 @@
  * @param state state of the workflow, as reported to callers
  * @param endedOccurrences numbers of the occurrences whose steps are all done
  * @param steps steps with at least one started task
+ * @param reason reason of a terminal state, or empty
  * @since 0.2
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record WorkflowRow(
-        String queue, WorkflowState state, List<Integer> endedOccurrences, List<StepRow> steps) {
+        String queue,
+        WorkflowState state,
+        List<Integer> endedOccurrences,
+        List<StepRow> steps,
+        String reason) {
+    /** Replaces the reason that rows of an earlier release lack. */
+    public WorkflowRow {
+        reason = Objects.requireNonNullElse(reason, "");
+    }
+
     /**
      * State of a step.
      *
@@ -45,10 +56,17 @@
      * @param done whether the task is complete
      * @param worker worker on which the last run may be active, or empty
      * @param checkpoint checkpoint, or empty
+     * @param crashes number of crashes of workers that runs of the task may have caused
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     public record TaskRow(
-            int index, int run, int failures, boolean done, String worker, String checkpoint) {}
+            int index,
+            int run,
+            int failures,
+            boolean done,
+            String worker,
+            String checkpoint,
+            int crashes) {}
 
     /** Returns the row of a workflow. For a terminal state, the row contains no steps. */
     static WorkflowRow of(Workflow workflow) {
@@ -65,7 +83,8 @@
                 workflow.mSpec.queue(),
                 workflow.mState,
                 new ArrayList<>(workflow.mEndedOccurrences),
-                steps);
+                steps,
+                workflow.mReason);
     }
 
     private static StepRow rowOf(Step step, List<TaskRow> tasks) {
@@ -91,7 +110,8 @@
                                 task.mFailures,
                                 task.mPhase == Task.Phase.DONE,
                                 worker == null ? "" : worker.mId,
-                                step.mSpec.gang() ? "" : task.mCheckpoint));
+                                step.mSpec.gang() ? "" : task.mCheckpoint,
+                                task.mCrashes));
             }
         }
         return rows;
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -74,6 +74,9 @@
 
     private final Map<String, Long> mTicketExpiry = new HashMap<>();
 
+    /** Number of workers that each deadly task has crashed. */
+    private final Map<TaskKey, Integer> mCrashes = new HashMap<>();
+
     /** Action that runs at a point in virtual time; {@code order} breaks ties. */
     private record Event(long atMillis, long order, Runnable action) {}
 
@@ -131,6 +134,13 @@
         at(HEARTBEAT_MILLIS, () -> mScheduler.updateWorker(worker.entry(mNowMillis), mNowMillis));
     }
 
+    /** Lists a worker with another capacity. */
+    void resizeWorker(SimulatedWorker worker, long cpuMillis) {
+        worker.resize(cpuMillis);
+        mScheduler.updateWorker(worker.entry(mNowMillis), mNowMillis);
+        processOutput();
+    }
+
     /** Removes a worker from the platform's list without stopping it. */
     void unlistWorker(String id) {
         mScheduler.markUnlisted(id);
@@ -281,6 +291,24 @@
         return mEpoch;
     }
 
+    /** Makes a task crash each worker that starts it. */
+    void setDeadly(TaskKey task) {
+        mCrashes.put(task, 0);
+    }
+
+    boolean isDeadly(TaskKey task) {
+        return mCrashes.containsKey(task);
+    }
+
+    void countCrash(TaskKey task) {
+        mCrashes.merge(task, 1, Integer::sum);
+    }
+
+    /** Returns the number of workers that each deadly task has crashed. */
+    Map<TaskKey, Integer> crashes() {
+        return mCrashes;
+    }
+
     void countStart() {
         mStartCount++;
     }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -25,9 +25,15 @@
     /** Time of day at the start of the simulation. */
     private static final long EPOCH_MILLIS = 1_000_000;
 
+    /** Time from a crash to the start of the next incarnation. */
+    private static final long DOWN_MILLIS = 3_000;
+
+    /** Time after which a task that crashes its worker does so. */
+    private static final long CRASH_DELAY_MILLIS = 10;
+
     private final SimulatedPool mPool;
     final String mId;
-    private final Room mCapacity;
+    private Room mCapacity;
     private final Map<TaskKey, Run> mRuns = new TreeMap<>(Comparator.comparing(k -> "" + k));
 
     /**
@@ -140,6 +146,35 @@
         mPool.listAfterHeartbeat(this);
     }
 
+    /** Changes the capacity, which the next entry shows. */
+    void resize(long cpuMillis) {
+        mCapacity = new Room(cpuMillis, 1L << 40, 0);
+    }
+
+    /**
+     * Ends all runs at once, and with them the gangs that they belong to; a new incarnation starts
+     * after a while.
+     */
+    void crash() {
+        List<Run> lost = List.copyOf(mRuns.values());
+        mRuns.clear();
+        lost.stream().filter(it -> it.spec().gang()).forEach(this::breakGang);
+        mDisconnected = true;
+        mPool.at(
+                DOWN_MILLIS,
+                () -> {
+                    mDisconnected = false;
+                    restart();
+                });
+    }
+
+    private void crashDuring(Run run) {
+        if (run.equals(mRuns.get(run.order().task()))) {
+            mPool.countCrash(run.order().task());
+            crash();
+        }
+    }
+
     StartOutcome start(TaskStart order, long token, long deadlineMillis) {
         if (mLosingStarts) {
             return StartOutcome.UNKNOWN;
@@ -169,6 +204,9 @@
         long workMillis = (long) (spec.estimateMillis() * mSlowdownFactor);
         Run run = new Run(order, spec, mPool.nowMillis(), workMillis);
         mRuns.put(order.task(), run);
+        if (mPool.isDeadly(order.task())) {
+            mPool.at(CRASH_DELAY_MILLIS, () -> crashDuring(run));
+        }
         if (!mStalling) {
             mPool.at(mFailing ? workMillis / 10 : workMillis, () -> finishRun(run));
         }
@@ -210,6 +248,16 @@
         endRun(run, EndKind.DONE);
     }
 
+    private void breakGang(Run lost) {
+        for (SimulatedWorker worker : mPool.workers()) {
+            for (Run member : List.copyOf(worker.mRuns.values())) {
+                if (member.order().task().step().equals(lost.order().task().step())) {
+                    worker.endRun(member, EndKind.BROKEN);
+                }
+            }
+        }
+    }
+
     private void endGang(Run run) {
         for (SimulatedWorker worker : mPool.workers()) {
             for (Run member : new ArrayList<>(worker.mRuns.values())) {
