Withdraw starts that a worker has become too small for

A start is checked against the capacity of its worker when it is placed, but sent only after its commit. If the worker's capacity shrinks meanwhile, the start brought it over its room (LIMIT). Before a start is sent, its worker's allocations are now compared with the present capacity, and starts that do not fit are placed again.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -305,6 +305,10 @@
             return false;
         }
         mState.recordStartDelay(nowMillis - task.mPhaseMillis);
+        if (task.mWorker != null && task.mWorker.isOvercommitted()) {
+            mRuns.handleStartOutcome(order, StartOutcome.NO_ROOM, nowMillis);
+            return false;
+        }
         if (!hasDeliverableTicket(task.mStep, order, nowMillis)) {
             mRuns.handleStartOutcome(order, StartOutcome.NO_TICKET, nowMillis);
             return false;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -182,6 +182,15 @@
         return mAllocations.size();
     }
 
+    /** Returns whether more room is allocated than this worker has, as it has become smaller. */
+    boolean isOvercommitted() {
+        Room unallocated = mFree;
+        for (Room reserved : mReserved.values()) {
+            unallocated = unallocated.plus(reserved);
+        }
+        return unallocated.isNegative();
+    }
+
     /** Returns the room that is neither allocated nor reserved for another step. */
     Room freeFor(Step step) {
         Room reserved = mReserved.isEmpty() ? null : mReserved.get(step);
