Send a request on to two executors at most if they break off

An idempotent request whose executor broke off was sent to the next one, limited by the customer's retry budget only, and by the entry to up to three shards: one request could crash executor after executor. After two executors that broke off, the request is answered with EXECUTORS_LOST (502, MAY_HAVE_RUN), which entries do not send to another shard.

RequestSchedulerTest.requestThatBreaksExecutorsIsSentTwiceAtMost fails without the bound (a third attempt, then TIMEOUT). A caller that sends the request again as a new one gets a new count; the claim of an idempotency key prevents that.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/PendingRequest.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/PendingRequest.java
@@ -2,6 +2,7 @@
 
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
 import org.hyssoprouter.errors.Refusal;
 import org.hyssoprouter.internal.config.CustomerPolicy;
@@ -25,6 +26,9 @@
     private volatile @Nullable Future<?> mExpiryTask;
     private volatile boolean mMayHaveRun;
 
+    /** Number of executors whose connection broke while they had this request. */
+    private final AtomicInteger mBrokenAttempts = new AtomicInteger();
+
     PendingRequest(RequestOrder order, CustomerPolicy policy, long nowMillis) {
         mOrder = order;
         mPolicy = policy;
@@ -81,6 +85,11 @@
         mMayHaveRun = true;
     }
 
+    /** Counts an executor whose connection broke, and returns the number so far. */
+    int countBrokenAttempt() {
+        return mBrokenAttempts.incrementAndGet();
+    }
+
     /** Marks a sent request as waiting for a retry; returns false if it was answered meanwhile. */
     boolean markWaiting() {
         return mState.compareAndSet(State.SENT, State.WAITING);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/ReplyFactory.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/ReplyFactory.java
@@ -107,4 +107,14 @@
                         RefusalCode.TARGET_FAILED, error.message(), EXECUTOR_RETRY_AFTER_MILLIS)
                 : mayHaveRun(code, error.message());
     }
+
+    /**
+     * Returns the reply to a request during which one executor after another broke off. It must not
+     * be sent to others.
+     */
+    static RequestReply executorsBroke(int count) {
+        return mayHaveRun(
+                RefusalCode.EXECUTORS_LOST,
+                count + " executors broke off while they had this request; it may crash them");
+    }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/RequestSender.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/request/RequestSender.java
@@ -23,6 +23,9 @@
     private static final long MIN_ATTEMPT_TIMEOUT_MILLIS = 1_000;
     private static final long ATTEMPT_TIMEOUT_FACTOR = 8;
 
+    /** Number of executors that may break off a request before it is taken to crash them. */
+    private static final int MAX_BROKEN_ATTEMPTS = 2;
+
     private final ShardContext mContext;
     private final SlotTracker mSlotTracker;
     private final ExecutorClient mExecutors;
@@ -145,6 +148,12 @@
         if (error.verdict() != Verdict.NOT_RUN) {
             request.markMayHaveRun();
         }
+        boolean broken =
+                error.verdict() == Verdict.MAY_HAVE_RUN && error.kind() == CallError.Kind.BROKEN;
+        if (broken && request.countBrokenAttempt() >= MAX_BROKEN_ATTEMPTS) {
+            request.answer(ReplyFactory.executorsBroke(MAX_BROKEN_ATTEMPTS));
+            return;
+        }
         boolean canRetry = error.verdict() == Verdict.NOT_RUN || request.order().idempotent();
         if (canRetry && retryIfAllowed(request, queue, nowMillis)) {
             return;
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/request/RequestSchedulerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/request/RequestSchedulerTest.java
@@ -100,6 +100,36 @@
         assertNotNull(awaitNextSent());
     }
 
+    // Guards against a request that crashes one executor after another.
+    @Test
+    void requestThatBreaksExecutorsIsSentTwiceAtMost() throws Exception {
+        RequestScheduler scheduler = mFixture.startScheduler(List.of());
+        for (int i = 0; i < 20; i++) {
+            CompletableFuture<RequestReply> other = scheduler.handle(order(null));
+            awaitNextSent().answer("done");
+            get(other);
+        }
+        CompletableFuture<RequestReply> reply = scheduler.handle(idempotent());
+        for (int i = 0; i < 2; i++) {
+            awaitNextSent().fail(CallError.mayHaveRun(CallError.Kind.BROKEN, "reset"));
+        }
+        assertEquals(Verdict.MAY_HAVE_RUN, get(reply).verdict());
+        assertEquals(RefusalCode.EXECUTORS_LOST, refusalCode(get(reply)));
+        assertEquals(0, mFixture.sentCount());
+    }
+
+    private RequestOrder idempotent() {
+        return new RequestOrder(
+                "idempotent",
+                "lefain",
+                "starter",
+                TrafficClass.NORMAL,
+                TIMEOUT_MILLIS,
+                true,
+                null,
+                new byte[0]);
+    }
+
     @Test
     void normalRequestIsSentBeforeQueuedBulkRequests() {
         RequestScheduler scheduler = mFixture.startScheduler(List.of());
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/RefusalCode.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/RefusalCode.java
@@ -32,6 +32,8 @@
     NOT_READY(503),
     /** The target failed before an answer was complete. */
     TARGET_FAILED(502),
+    /** Several executors failed one after the other during this request. */
+    EXECUTORS_LOST(502),
     /** The deadline passed. */
     TIMEOUT(504),
     /** A request with the same idempotency key is in progress. */
