--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -123,7 +123,7 @@
         return (claimant == null || claimant.equals(step))
                 && worker.matchesLabel(step.mSpec)
                 && !step.isExcluded(worker.mId, mNowMillis)
-                && TrialPlacement.accepts(worker, step, step.waitingCrashes());
+                && TrialPlacement.accepts(worker, step);
     }
 
     /** Returns whether a worker belongs to a pool and accepts new runs. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/TrialPlacement.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/TrialPlacement.java
@@ -26,15 +26,13 @@
 
     private TrialPlacement() {}
 
-    /**
-     * Returns whether a step with a number of crashes may start on a worker, considering the trials
-     * there.
-     */
-    static boolean accepts(PoolWorker worker, Step step, int crashes) {
+    /** Returns whether the waiting tasks of a step may join the trials on a worker, if any. */
+    static boolean accepts(PoolWorker worker, Step step) {
         List<Task> onTrial = worker.tasksOnTrial();
         if (onTrial.isEmpty()) {
             return true;
         }
+        int crashes = step.waitingCrashes();
         if (crashes == 0) {
             return false;
         }
