Preempt nothing for a step that waits for a trial

A suspect that finds room but may not start yet, as half of the pool holds trials or no worker is free of recent runs, could stop tasks of lower priority to no use.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -150,6 +150,10 @@
         if (!step.mReservedTasks.isEmpty()) {
             return true;
         }
+        if (step.needsTrial() && hasRoom(step, candidates)) {
+            // The step waits for a trial to begin, not for room.
+            return false;
+        }
         Map<Task, PoolWorker> plan =
                 WorkerSelector.select(step, tasks, candidates, mPreemption.attainableRoom(step));
         if (plan.isEmpty()) {
@@ -166,6 +170,11 @@
         return true;
     }
 
+    private static boolean hasRoom(Step step, List<PoolWorker> candidates) {
+        Room room = WorkerSelector.requiredRoom(step.mSpec);
+        return candidates.stream().anyMatch(it -> room.fitsIn(it.freeFor(step)));
+    }
+
     /**
      * Reserves the room that a plan needs for its step, in place of the step's earlier
      * reservations.
@@ -202,8 +211,7 @@
 
     /** Chooses workers for tasks within the room that is free now. */
     Map<Task, PoolWorker> plan(Step step, List<Task> tasks, List<PoolWorker> candidates) {
-        boolean isTrial = !step.mSpec.gang() && step.waitingCrashes() > 0;
-        if (!isTrial) {
+        if (!step.needsTrial()) {
             return WorkerSelector.select(step, tasks, candidates, it -> it.freeFor(step));
         }
         List<PoolWorker> pool =
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -55,7 +55,8 @@
 
     /**
      * Returns the tasks that wait for a run and may get one now. For a gang, returns none unless
-     * all members wait. Other steps start their suspects first, as their tasks are much alike.
+     * all members wait. Of other steps, suspects run first: their tasks are much alike, and all of
+     * them may crash workers.
      */
     List<Task> placeableTasks() {
         List<Task> waiting = new ArrayList<>();
@@ -73,6 +74,14 @@
         return suspects.isEmpty() && !hasTrials ? waiting : suspects;
     }
 
+    /**
+     * Returns whether the next runs of this step are on trial on workers of their own. A gang needs
+     * all of its workers at the same time and takes those that fit.
+     */
+    boolean needsTrial() {
+        return !mSpec.gang() && waitingCrashes() > 0;
+    }
+
     /** Returns the highest number of crashes that are blamed on a task that waits for a run. */
     int waitingCrashes() {
         int crashes = 0;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerSelector.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerSelector.java
@@ -98,7 +98,7 @@
     private static Comparator<Candidate> candidateOrder(Step step, List<Candidate> candidates) {
         StepSpec.Limits limits = step.mSpec.limits();
         String preferred = limits.preferredRack();
-        if (!step.mSpec.gang() && step.waitingCrashes() > 0) {
+        if (step.needsTrial()) {
             // Another crash should end as few other runs as possible.
             return Comparator.comparingInt((Candidate it) -> it.worker().runCount());
         }
