--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -45,12 +45,12 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
-    private final Ports mPorts;
     private final OwnershipListener mListener;
     private final SerialExecutor mThread = new SingleThreadExecutor("pool-owner");
     private final PoolScheduler mScheduler;
     private final OwnerCommitter mCommitter;
     private final OwnerLoadMonitor mLoadMonitor;
+    private final DecisionLogger mDecisionLogger;
     private final WorkerPoller mWorkerPoller;
     private final RunDispatcher mRunDispatcher;
     private final ApprovalDispatcher mApprovalDispatcher;
@@ -92,12 +92,12 @@
     }
 
     PoolOwner(Ports ports, WorkflowSettings settings, OwnershipListener listener) {
-        mPorts = ports;
         mListener = listener;
         mClock = ports.clock();
         mScheduler = new PoolScheduler(settings.limits(), mClock.millis());
         ComponentListener events = new ComponentListener();
         mLoadMonitor = new OwnerLoadMonitor(mClock, ports.meters());
+        mDecisionLogger = new DecisionLogger(ports.meters());
         mCommitter =
                 new OwnerCommitter(
                         ports.table(), mScheduler, mThread, mClock, events, mLoadMonitor);
@@ -280,8 +280,7 @@
         SchedulerOutput output = mScheduler.output();
         output.takeStops().forEach(stop -> mRunDispatcher.sendStop(stop, mCommitter.epoch()));
         mApprovalDispatcher.enqueue(output.takeApprovalRequests());
-        output.takeDecisions().forEach(this::logDecision);
-        output.takeGivenUp().forEach(this::logGivenUp);
+        mDecisionLogger.log(output);
         mApprovalDispatcher.dispatch();
         mCommitter.commitIfDue();
         mWorkerPoller.pollDueWorkers();
@@ -292,16 +291,6 @@
         return Math.max(MIN_ROUND_PAUSE_MILLIS, Math.min(MAX_ROUND_PAUSE_MILLIS, millis));
     }
 
-    private void logDecision(SchedulerOutput.Decision decision) {
-        mPorts.meters().recordDecision(decision.action());
-        LOG.log(LogEvent.DECISION, decision.subject(), decision.action(), decision.inputs());
-    }
-
-    private void logGivenUp(SchedulerOutput.GivenUp givenUp) {
-        mPorts.meters().countGivenUpWorkflow(givenUp.queue());
-        LOG.log(LogEvent.WORKFLOW_GIVEN_UP, givenUp.workflow(), givenUp.queue(), givenUp.reason());
-    }
-
     private void startJobFollowerIfReady() {
         if (!mJobFollowerStarted && mRunsRead && mWorkersRead) {
             mJobFollowerStarted = true;
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashTrackerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashTrackerTest.java
@@ -110,7 +110,7 @@
 
     private void submitDeadly(int number, int tasks, boolean gang) {
         String id = "deadly" + number;
-        mPool.setDeadly(deadlyTask(number));
+        mPool.deadlyTasks().add(deadlyTask(number));
         String queue = number % 2 == 0 ? "plain" : "approved";
         mPool.submit(workflow(id, queue, step(tasks, 1_000, 700, gang)));
     }
@@ -121,7 +121,7 @@
 
     private void assertGivenUp(int number) {
         assertEquals(WorkflowState.FAILED, mPool.stateOf("deadly" + number));
-        int crashes = mPool.crashes().getOrDefault(deadlyTask(number), 0);
+        int crashes = mPool.deadlyTasks().crashes(deadlyTask(number));
         assertTrue(crashes <= MAX_CRASHES, "crashes: " + crashes);
     }
 
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -74,8 +74,7 @@
 
     private final Map<String, Long> mTicketExpiry = new HashMap<>();
 
-    /** Number of workers that each deadly task has crashed. */
-    private final Map<TaskKey, Integer> mCrashes = new HashMap<>();
+    private final DeadlyTasks mDeadlyTasks = new DeadlyTasks();
 
     /** Action that runs at a point in virtual time; {@code order} breaks ties. */
     private record Event(long atMillis, long order, Runnable action) {}
@@ -291,22 +290,8 @@
         return mEpoch;
     }
 
-    /** Makes a task crash each worker that starts it. */
-    void setDeadly(TaskKey task) {
-        mCrashes.put(task, 0);
-    }
-
-    boolean isDeadly(TaskKey task) {
-        return mCrashes.containsKey(task);
-    }
-
-    void countCrash(TaskKey task) {
-        mCrashes.merge(task, 1, Integer::sum);
-    }
-
-    /** Returns the number of workers that each deadly task has crashed. */
-    Map<TaskKey, Integer> crashes() {
-        return mCrashes;
+    DeadlyTasks deadlyTasks() {
+        return mDeadlyTasks;
     }
 
     void countStart() {
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -170,7 +170,7 @@
 
     private void crashDuring(Run run) {
         if (run.equals(mRuns.get(run.order().task()))) {
-            mPool.countCrash(run.order().task());
+            mPool.deadlyTasks().countCrash(run.order().task());
             crash();
         }
     }
@@ -204,7 +204,7 @@
         long workMillis = (long) (spec.estimateMillis() * mSlowdownFactor);
         Run run = new Run(order, spec, mPool.nowMillis(), workMillis);
         mRuns.put(order.task(), run);
-        if (mPool.isDeadly(order.task())) {
+        if (mPool.deadlyTasks().contains(order.task())) {
             mPool.at(CRASH_DELAY_MILLIS, () -> crashDuring(run));
         }
         if (!mStalling) {
