Give commits in OpeningGuardTest a duration

The test moves its clock by a heartbeat with each commit of the owner, and commits took no time, so that commit and clock can drive each other: the failing case ran all 125 heartbeats in 0.046 s, less than the 50 ms after which the owner checks for the first time whether it is open. The owner was right not to release. Commits now take 60 ms, so that the owner checks between two of them. What is asserted, and after how much time on the test's clock, is as before.

--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
@@ -39,6 +39,9 @@
     private static final long LIMIT_SECONDS = 10;
     private static final long COMMIT_WAIT_MILLIS = 300;
 
+    /** Duration of a commit; longer than the interval of the owner's checks. */
+    private static final long COMMIT_MILLIS = 60;
+
     private final AtomicLong mNowMillis = new AtomicLong(1_000);
     private final UnreadableTable mTable = new UnreadableTable();
     private final LinkedBlockingQueue<String> mLosses = new LinkedBlockingQueue<>();
@@ -130,8 +133,11 @@
                     }
                 }
             }
-            return CompletableFuture.completedFuture(
-                    Either.right(new CommitResult(mVersion.incrementAndGet(), 0)));
+            return new CompletableFuture<Either<CommitFailure, CommitResult>>()
+                    .completeOnTimeout(
+                            Either.right(new CommitResult(mVersion.incrementAndGet(), 0)),
+                            COMMIT_MILLIS,
+                            TimeUnit.MILLISECONDS);
         }
 
         @Override
