--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashTrackerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashTrackerTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** Tasks that crash their workers are given up, and those that ran beside them are not. */
+/** Workflows whose tasks crash workers fail; those that only ran on the same workers complete. */
 class CrashTrackerTest {
     private static final int WORKERS = 12;
     private static final int SOUND = 200;
