Ask strong peers to take the pools over when the store refuses the owner

Weighed: the owner releases its row (it cannot write), names a successor (one more round trip, and the successor may be refused, too), or asks all strong daemons.

Change: after 300 ms of refused commits (CommitRefusals; commits without an answer do not count, since a slow store is slow for the next owner as well) the owner sends TakeoverRequest over the peer link and goes on. A peer that has read the store without a failure for 300 ms campaigns by the version of the row that it has read, the nearest to the store first. The request lapses when the row changes. The fence and the order of commits and starts are unchanged. New events E5110 and E5111.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -97,6 +97,10 @@
             "starts"),
     /** The owner gives the pools up because their state could not be read in time. */
     POOLS_NOT_OPENED(5109, Level.WARNING, "pools not open in time", "epoch", "millis", "times"),
+    /** The store refuses the owner's commits, and the owner asks other daemons to take over. */
+    TAKEOVER_REQUESTED(5110, Level.WARNING, "takeover requested", "epoch", "peers"),
+    /** A request to take over did not reach a daemon. */
+    TAKEOVER_REQUEST_LOST(5111, Level.INFO, "takeover request lost", "peer", "reason"),
     /** The table store does not answer this daemon. */
     TABLE_UNREACHABLE(5201, Level.WARNING, "table store unreachable", "table", "reason"),
     /** The table store answers this daemon again. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
@@ -28,6 +28,9 @@
      */
     static final long MIN_CONTINUOUS_READ_MILLIS = 1_100;
 
+    /** Duration of uninterrupted reads required to take over from an owner that asks for it. */
+    static final long MIN_TAKEOVER_READ_MILLIS = 300;
+
     /**
      * Campaign delay in round trips to the store, so that daemons near the store campaign first.
      */
@@ -42,7 +45,7 @@
     static final long LOW_CPU_DELAY_MILLIS = 700;
 
     /** A daemon with less than this share of the strongest daemon's processor time is delayed. */
-    private static final double LOW_CPU_RATIO = 0.6;
+    static final double LOW_CPU_RATIO = 0.6;
 
     private static final long UNKNOWN = -1;
 
@@ -53,6 +56,7 @@
     private long mLastRoundTripMillis;
     private long mVersion;
     private boolean mRowChanged;
+    private boolean mTakeoverRequested;
     private boolean mLowCpu;
     private long mUnchangedSinceMillis = UNKNOWN;
     private long mContinuousSinceMillis = UNKNOWN;
@@ -87,6 +91,19 @@
         mRow = row;
         mVersion = version;
         mRowChanged = true;
+        mTakeoverRequested = false;
+    }
+
+    /**
+     * Records that an owner asks for a takeover. The request lapses when its row changes: the store
+     * then serves the owner again, or another daemon has taken over.
+     */
+    synchronized void onTakeoverRequested(TakeoverRequest request) {
+        mTakeoverRequested =
+                mRow.exists(
+                        row ->
+                                row.incarnation().equals(request.incarnation())
+                                        && row.epoch() == request.epoch());
     }
 
     /** Restarts the measurement of uninterrupted reads. */
@@ -114,6 +131,10 @@
         if (mRow.isEmpty() || mRow.get().released()) {
             return storeMillis - mUnchangedSinceMillis >= staggerMillis;
         }
+        if (mTakeoverRequested
+                && storeMillis - mContinuousSinceMillis >= MIN_TAKEOVER_READ_MILLIS) {
+            return storeMillis - mUnchangedSinceMillis >= staggerMillis;
+        }
         long allowanceMillis =
                 Math.min(
                         MAX_ROUND_TRIP_ALLOWANCE_MILLIS,
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
@@ -95,6 +95,12 @@
         return all().stream().mapToDouble(MemberRow::cores).max().orElse(mSelf.cores());
     }
 
+    /** Returns the other daemons with at least a share of the strongest one's processor time. */
+    List<MemberRow> strongPeers(double share) {
+        double cores = share * maxCores();
+        return all().stream().filter(it -> !it.equals(mSelf) && it.cores() >= cores).toList();
+    }
+
     MemberRow self() {
         return mSelf;
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -51,6 +51,7 @@
     private final OwnerLoadMonitor mLoadMonitor;
     private final Set<String> mChangedIds = new LinkedHashSet<>();
     private final CommitRows mRows;
+    private final CommitRefusals mRefusals;
     private final Map<String, PoolScheduler.ProcessedEnds> mDurableEnds = new HashMap<>();
     private List<TaskStart> mPendingStarts = new ArrayList<>();
     private OwnerRow mRow;
@@ -92,6 +93,9 @@
         /** Another daemon has become owner. */
         void onOwnershipLost(String reason);
 
+        /** The store has refused the commits for a while. */
+        void onCommitsRefused();
+
         /** The ownership has been released, and all earlier decisions are durable. */
         void onReleased();
     }
@@ -116,6 +120,7 @@
         mTable = table;
         mScheduler = scheduler;
         mRows = new CommitRows(scheduler);
+        mRefusals = new CommitRefusals(clock);
         mThread = thread;
         mClock = clock;
         mListener = listener;
@@ -304,6 +309,9 @@
         PartitionTable.CommitFailure failure = result.getLeft();
         if (failure.error().kind() != TableError.Kind.CONFLICT) {
             logRetry(group, failure.error());
+            if (mRefusals.onFailure(mClock.millis() - group.sentMillis())) {
+                mListener.onCommitsRefused();
+            }
             mThread.schedule(() -> resend(group), RETRY_DELAY_MILLIS);
             return;
         }
@@ -344,6 +352,7 @@
 
     private void onCommitted(CommitGroup group, long version) {
         mCommitInFlight = false;
+        mRefusals.onSuccess();
         mStartsInFlightCount = 0;
         mRow = group.row();
         mVersion = version;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -35,16 +35,6 @@
     private static final long WORKER_READ_PAUSE_MILLIS = 200;
     private static final long STOP_TIMEOUT_MILLIS = 500;
 
-    /** Bounds of the pause between two placement rounds; changes in between share the next one. */
-    private static final long MIN_ROUND_PAUSE_MILLIS = 4;
-
-    private static final long MAX_ROUND_PAUSE_MILLIS = 200;
-
-    /** Pause after a round as a multiple of its duration; answers are handled meanwhile. */
-    private static final long ROUND_PAUSE_FACTOR = 2;
-
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     private final OwnershipListener mListener;
     private final SerialExecutor mThread = new SingleThreadExecutor("pool-owner");
     private final PoolScheduler mScheduler;
@@ -89,6 +79,9 @@
         /** The states have become durable. */
         void onStatesDurable(Map<String, WorkflowState> states);
 
+        /** The store has refused the owner's commits for a while. */
+        void onCommitsRefused(PoolOwner owner);
+
         /** The ownership is lost or released. */
         void onOwnershipLost(PoolOwner owner, String reason);
     }
@@ -278,7 +271,7 @@
             mScheduler.place(limits, mClock.millis());
             long durationNanos = System.nanoTime() - startNanos;
             mLoadMonitor.recordRound(durationNanos);
-            mNextRoundMillis = mClock.millis() + pauseMillis(durationNanos);
+            mNextRoundMillis = mClock.millis() + RoundPause.millisAfter(durationNanos);
         }
         SchedulerOutput output = mScheduler.output();
         output.takeStops().forEach(stop -> mRunDispatcher.sendStop(stop, mCommitter.epoch()));
@@ -289,11 +282,6 @@
         mWorkerPoller.pollDueWorkers();
     }
 
-    private static long pauseMillis(long roundNanos) {
-        long millis = ROUND_PAUSE_FACTOR * roundNanos / NANOS_PER_MILLI;
-        return Math.max(MIN_ROUND_PAUSE_MILLIS, Math.min(MAX_ROUND_PAUSE_MILLIS, millis));
-    }
-
     private void startJobFollowerIfReady() {
         if (!mJobFollowerStarted && mRunsRead && mWorkersRead) {
             mJobFollowerStarted = true;
@@ -441,6 +429,11 @@
             PoolOwner.this.onOwnershipLost(reason);
         }
 
+        @Override
+        public void onCommitsRefused() {
+            mListener.onCommitsRefused(PoolOwner.this);
+        }
+
         @Override
         public void onReleased() {
             PoolOwner.this.onOwnershipLost("released");
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.log.EventLogger;
@@ -52,6 +53,8 @@
     /** Time without an answer of the store after which calls are forwarded: two slow reads. */
     private static final long FORWARD_TIMEOUT_MILLIS = 1_200;
 
+    private static final long TAKEOVER_REQUEST_TIMEOUT_MILLIS = 700;
+
     private final Ports mPorts;
     private final WorkflowSettings mSettings;
     private final SerialExecutor mThread = new SingleThreadExecutor("workflows");
@@ -211,6 +214,9 @@
         if (type == PeerCallType.WORKFLOW_CALL.number()) {
             return mService.serve(payload);
         }
+        if (type == PeerCallType.POOLS_TAKEOVER.number()) {
+            return handleTakeoverRequest(payload);
+        }
         if (type != PeerCallType.APPROVAL.number()) {
             return CompletableFuture.failedFuture(
                     new IllegalArgumentException("peer call type " + type + " is not supported"));
@@ -226,6 +232,42 @@
         }
     }
 
+    private CompletableFuture<byte[]> handleTakeoverRequest(byte[] payload) {
+        try {
+            TakeoverRequest request = MessageCodec.decode(payload, TakeoverRequest.class);
+            mElection.onTakeoverRequested(request);
+            mThread.schedule(
+                    () -> campaignIfDue(mStates.storeClock().millis()), mElection.staggerMillis());
+            return CompletableFuture.completedFuture(new byte[0]);
+        } catch (IOException e) {
+            return CompletableFuture.failedFuture(e);
+        }
+    }
+
+    /** Asks strong peers to take over; this owner goes on until its row names another one. */
+    private void requestTakeover(PoolOwner owner) {
+        List<MemberRow> peers = mMembers.strongPeers(Election.LOW_CPU_RATIO);
+        LOG.log(LogEvent.TAKEOVER_REQUESTED, owner.epoch(), peers.size());
+        byte[] payload =
+                MessageCodec.encode(new TakeoverRequest(mSettings.incarnation(), owner.epoch()));
+        for (MemberRow peer : peers) {
+            CompletableFuture<Void> unused =
+                    mPorts.peers()
+                            .call(
+                                    peer.address(),
+                                    PeerCallType.POOLS_TAKEOVER.number(),
+                                    TrafficClass.URGENT,
+                                    payload,
+                                    TAKEOVER_REQUEST_TIMEOUT_MILLIS)
+                            .thenAccept(
+                                    reply -> reply.peekLeft(error -> logUndelivered(peer, error)));
+        }
+    }
+
+    private static void logUndelivered(MemberRow peer, CallError error) {
+        LOG.log(LogEvent.TAKEOVER_REQUEST_LOST, peer.name(), error.message());
+    }
+
     /** Calls the approval service directly or through another daemon. */
     private final class PeerApprovalTransport implements ApprovalDispatcher.ApprovalTransport {
         @Override
@@ -383,6 +425,11 @@
             states.forEach(mStates::recordState);
         }
 
+        @Override
+        public void onCommitsRefused(PoolOwner owner) {
+            mThread.execute(() -> requestTakeover(owner));
+        }
+
         @Override
         public void onOwnershipLost(PoolOwner owner, String reason) {
             mThread.execute(
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ElectionTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ElectionTest.java
@@ -68,6 +68,34 @@
         assertTrue(mElection.shouldCampaign(1_000 + mElection.staggerMillis()));
     }
 
+    @Test
+    void takesOverBeforeTheTimeoutFromOwnerThatAsksForIt() {
+        mElection.onOwnerRow(Option.some(row("b", "run-1", false)), 1);
+        assertFalse(mElection.shouldCampaign(1_000));
+        mElection.onTakeoverRequested(new TakeoverRequest("run-1", 3));
+        assertFalse(mElection.shouldCampaign(1_100), "needs uninterrupted reads first");
+        long readMillis = 1_000 + Election.MIN_TAKEOVER_READ_MILLIS;
+        assertTrue(mElection.shouldCampaign(readMillis + mElection.staggerMillis()));
+    }
+
+    @Test
+    void takeoverRequestLapsesWhenOwnerCommitsAgain() {
+        mElection.onOwnerRow(Option.some(row("b", "run-1", false)), 1);
+        assertFalse(mElection.shouldCampaign(1_000));
+        mElection.onTakeoverRequested(new TakeoverRequest("run-1", 3));
+        mElection.onOwnerRow(Option.some(row("b", "run-1", false)), 2);
+        assertFalse(mElection.shouldCampaign(1_500));
+        assertFalse(mElection.shouldCampaign(2_000));
+    }
+
+    @Test
+    void takeoverRequestOfFormerOwnerIsIgnored() {
+        mElection.onOwnerRow(Option.some(row("b", "run-2", false)), 1);
+        assertFalse(mElection.shouldCampaign(1_000));
+        mElection.onTakeoverRequested(new TakeoverRequest("run-1", 2));
+        assertFalse(mElection.shouldCampaign(1_900));
+    }
+
     @Test
     void restartedOwnerCampaignsAtOnce() {
         mElection.onOwnerRow(Option.some(row("a", "run-1", false)), 1);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
@@ -162,6 +162,9 @@
         @Override
         public void onStatesDurable(Map<String, WorkflowState> states) {}
 
+        @Override
+        public void onCommitsRefused(PoolOwner owner) {}
+
         @Override
         public void onOwnershipLost(PoolOwner owner, String reason) {
             mLosses.add(reason);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
+import org.hyssoprouter.daemon.ownership.SerialExecutor;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.lib.Room;
@@ -24,6 +25,7 @@
 
 class OwnerCommitterTest {
     private long mNowMillis = SchedulerFixture.NOW_MILLIS;
+    private int mRefusedCount;
     private final SchedulerFixture mFixture = new SchedulerFixture();
     private final PoolScheduler mScheduler = mFixture.scheduler();
     private final ManualTable mTable = new ManualTable();
@@ -31,7 +33,7 @@
             new OwnerCommitter(
                     mTable,
                     mScheduler,
-                    new DirectExecutor(),
+                    new RepeatingExecutor(),
                     () -> mNowMillis,
                     new IgnoringListener(),
                     new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
@@ -94,6 +96,32 @@
         assertTrue(mTable.lastEntryCount() <= 100, "entries: " + mTable.lastEntryCount());
     }
 
+    // Fault: the store refuses this daemon alone.
+    @Test
+    void refusedCommitsAreReportedOnce() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        mNowMillis += OwnerCommitter.HEARTBEAT_MILLIS;
+        mCommitter.commitIfDue();
+        for (int i = 0; i < 6; i++) {
+            mNowMillis += 100;
+            mTable.refuse();
+        }
+        assertEquals(1, mRefusedCount);
+    }
+
+    // Fault: the store is slow for all, so that another owner would fare no better.
+    @Test
+    void unansweredCommitsAreNotRefused() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        mNowMillis += OwnerCommitter.HEARTBEAT_MILLIS;
+        mCommitter.commitIfDue();
+        for (int i = 0; i < 4; i++) {
+            mNowMillis += CommitRefusals.MAX_REFUSAL_MILLIS + 1;
+            mTable.refuse();
+        }
+        assertEquals(0, mRefusedCount);
+    }
+
     // Load pattern: a store so slow that each commit is full. Callers wait for results.
     @Test
     void finishedWorkflowsAreCommittedBeforeStarts() {
@@ -156,6 +184,28 @@
         mScheduler.place(mNowMillis);
     }
 
+    /** Runs tasks in the calling thread, delayed ones at once. */
+    private static final class RepeatingExecutor implements SerialExecutor {
+        @Override
+        public void execute(Runnable task) {
+            task.run();
+        }
+
+        @Override
+        public void schedule(Runnable task, long delayMillis) {
+            task.run();
+        }
+
+        @Override
+        public void scheduleWithFixedDelay(Runnable task, long pauseMillis) {}
+
+        @Override
+        public void shutdownNow() {}
+
+        @Override
+        public void shutdown(long withinMillis) {}
+    }
+
     /** Table that answers a commit when the test calls answer(). */
     private static final class ManualTable implements PartitionTable {
         private final List<Batch> mBatches = new ArrayList<>();
@@ -168,6 +218,13 @@
             pending.complete(Either.right(new CommitResult(mBatches.size() + 1, 0)));
         }
 
+        void refuse() {
+            CompletableFuture<Either<CommitFailure, CommitResult>> pending = mPendingCommit;
+            mPendingCommit = new CompletableFuture<>();
+            pending.complete(
+                    Either.left(new CommitFailure(TableError.unavailable("refused"), List.of())));
+        }
+
         /** Returns the states of a workflow that were written, in order. */
         List<WorkflowState> statesOf(String id) {
             List<WorkflowState> states = new ArrayList<>();
@@ -219,7 +276,7 @@
         }
     }
 
-    private static final class IgnoringListener implements OwnerCommitter.Listener {
+    private final class IgnoringListener implements OwnerCommitter.Listener {
         @Override
         public void onStartsDurable(List<TaskStart> starts) {}
 
@@ -232,6 +289,11 @@
         @Override
         public void onOwnershipLost(String reason) {}
 
+        @Override
+        public void onCommitsRefused() {
+            mRefusedCount++;
+        }
+
         @Override
         public void onReleased() {}
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOwnerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOwnerTest.java
@@ -246,6 +246,9 @@
         @Override
         public void onStatesDurable(Map<String, WorkflowState> states) {}
 
+        @Override
+        public void onCommitsRefused(PoolOwner owner) {}
+
         @Override
         public void onOwnershipLost(PoolOwner owner, String reason) {}
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
@@ -132,6 +132,9 @@
 
     private static final class IgnoringListener
             implements OwnerCommitter.Listener, WorkerPoller.Listener {
+        @Override
+        public void onCommitsRefused() {}
+
         @Override
         public void onStartsDurable(List<TaskStart> starts) {}
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/PeerCallType.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/PeerCallType.java
@@ -37,7 +37,9 @@
     /** Forwards a caller's workflow call from a daemon that cannot reach the table store. */
     WORKFLOW_CALL(14),
     /** Checks that the peer answers. */
-    MEMBER_PING(15);
+    MEMBER_PING(15),
+    /** Asks the peer to take the pools over from an owner whose commits the store refuses. */
+    POOLS_TAKEOVER(16);
 
     private final int mNumber;
 
