Let long polls on reused connections last as long as their own timeout

Cause: a connection kept the socket timeout of the call that opened it. Ruled out: the store's or the network's faults, as they occur on calm seconds, too, and only on polls that wait longer than the first call's timeout.

Change: a connection that is released for reuse keeps no timeout; each call has a timer of its own.

HttpCallerTest.reusedConnectionKeepsNoTimeoutOfEarlierCalls failed before.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpConnector.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpConnector.java
@@ -84,8 +84,12 @@
 
         @Override
         public void release(PoolEntry<HttpHost, IOSession> entry, boolean reusable) {
-            if (reusable) {
+            IOSession connection = entry.getConnection();
+            if (reusable && connection != null) {
                 entry.updateExpiry(MAX_IDLE);
+                // Otherwise the timeout of the call that opened the connection ends later, longer
+                // calls. Each call has a timer of its own.
+                connection.setSocketTimeout(Timeout.DISABLED);
             }
             super.release(entry, reusable);
         }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/adapter/HttpCallerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/adapter/HttpCallerTest.java
@@ -15,6 +15,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import mockwebserver3.MockResponse;
 import mockwebserver3.MockWebServer;
@@ -155,6 +156,21 @@
         }
     }
 
+    // Guards against long polls that end by the timeout of the call that opened their connection.
+    @Test
+    void reusedConnectionKeepsNoTimeoutOfEarlierCalls() throws IOException, InterruptedException {
+        try (MockWebServer server = new MockWebServer()) {
+            server.start();
+            server.enqueue(new MockResponse.Builder().body("a").build());
+            server.enqueue(
+                    new MockResponse.Builder().headersDelay(2, TimeUnit.SECONDS).body("b").build());
+            assertTrue(send(server.getPort(), 900).isRight());
+            assertArrayEquals(new byte[] {'b'}, send(server.getPort(), 60_000).get().body());
+            server.takeRequest();
+            assertEquals(0, server.takeRequest().getConnectionIndex(), "connection was reused");
+        }
+    }
+
     @Test
     void evictionClosesIdleConnection() throws IOException, InterruptedException {
         try (MockWebServer server = new MockWebServer()) {
