Leave slow workers out of placement

Change: WorkerSpeed compares the durations of runs, extrapolated from reported progress, with those expected (DurationEstimator). A worker with a median of three times or more over its runs of the last 2 s gets no further runs until its ratios are old, unless more than a quarter of the pool is slow. Decisions "worker is slow" and "worker is no longer slow" are logged with their inputs.

SlowWorkerTest.slowWorkerReceivesNoFurtherRuns failed before.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/DurationEstimator.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/DurationEstimator.java
@@ -44,6 +44,12 @@
         mAverages.computeIfAbsent(queue, key -> new Average()).add(millis);
     }
 
+    /** Returns whether enough runs of a step's queue were observed for a good estimate. */
+    boolean isKnown(Step step) {
+        Average average = mAverages.get(step.mWorkflow.mSpec.queue());
+        return average != null && average.mRuns >= MIN_RUNS;
+    }
+
     /** Returns the expected duration of a task of a step, in milliseconds. */
     long taskMillis(Step step) {
         Average average = mAverages.get(step.mWorkflow.mSpec.queue());
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.TaskStart;
@@ -32,8 +34,15 @@
     /** Maximum number of gangs that claim workers in a round. */
     static final int MAX_CLAIMING_GANGS = 2;
 
+    /** Largest share of a pool that is left out because it is slow. */
+    static final double MAX_SLOW_SHARE = 0.25;
+
     private final PoolState mState;
     private final long mNowMillis;
+
+    /** Slow workers of the pools seen so far. */
+    private final Set<PoolWorker> mSlow = new HashSet<>();
+
     private final Map<PoolWorker, Step> mClaims = new HashMap<>();
     private final Map<String, List<PoolWorker>> mSchedulable = new HashMap<>();
     private final Preemption mPreemption;
@@ -108,12 +117,13 @@
         if (!step.mReservedTasks.isEmpty() && (expired || unusable)) {
             step.releaseReservations();
         }
+        List<PoolWorker> workers = schedulableWorkers(policy.pool());
         if (policy.approval().isDefined()) {
             mApprovedPlacement.place(step, tasks, policy, policy.approval().get());
             return;
         }
         List<PoolWorker> candidates = new ArrayList<>();
-        for (PoolWorker worker : schedulableWorkers(policy.pool())) {
+        for (PoolWorker worker : workers) {
             if (isEligible(step, worker)) {
                 candidates.add(worker);
             }
@@ -131,7 +141,8 @@
      */
     boolean isEligible(Step step, PoolWorker worker) {
         Step claimant = mClaims.isEmpty() ? null : mClaims.get(worker);
-        return (claimant == null || claimant.equals(step))
+        return !mSlow.contains(worker)
+                && (claimant == null || claimant.equals(step))
                 && worker.matchesLabel(step.mSpec)
                 && !step.isExcluded(worker.mId, mNowMillis)
                 && TrialPlacement.accepts(worker, step);
@@ -147,10 +158,30 @@
     List<PoolWorker> schedulableWorkers(String pool) {
         return mSchedulable.computeIfAbsent(
                 pool,
-                name ->
-                        mState.mWorkers.values().stream()
-                                .filter(w -> isSchedulable(w, name))
-                                .toList());
+                name -> {
+                    List<PoolWorker> workers = new ArrayList<>();
+                    for (PoolWorker worker : mState.mWorkers.values()) {
+                        if (isSchedulable(worker, name)) {
+                            workers.add(worker);
+                        }
+                    }
+                    return withoutSlow(workers);
+                });
+    }
+
+    /** Leaves out the slow workers, unless they are too large a part of the pool. */
+    private List<PoolWorker> withoutSlow(List<PoolWorker> workers) {
+        Set<PoolWorker> slow = new HashSet<>();
+        for (PoolWorker worker : workers) {
+            if (worker.mSpeed.isSlow(mNowMillis)) {
+                slow.add(worker);
+            }
+        }
+        if (slow.isEmpty() || slow.size() > MAX_SLOW_SHARE * workers.size()) {
+            return workers;
+        }
+        mSlow.addAll(slow);
+        return workers.stream().filter(worker -> !slow.contains(worker)).toList();
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -23,6 +23,7 @@
 
     final String mId;
     final WorkerClock mClock;
+    final WorkerSpeed mSpeed = new WorkerSpeed();
 
     /** Room reserved for steps that wait for approval or for preempted tasks to stop. */
     private final Map<Step, Room> mReserved = new HashMap<>();
@@ -97,6 +98,7 @@
     void beginIncarnation(long incarnationMillis) {
         mFormerIncarnations.add(mIncarnationMillis);
         mIncarnationMillis = incarnationMillis;
+        mSpeed.reset();
     }
 
     /** Allocates room to a task, in place of any earlier allocation to it. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -221,9 +221,30 @@
             markRunning(task, nowMillis);
         }
         task.recordProgress(run.percent(), nowMillis);
+        recordSpeed(worker, task, task.projectedMillis(nowMillis), nowMillis);
         return true;
     }
 
+    private void recordSpeed(PoolWorker worker, Task task, long millis, long nowMillis) {
+        boolean expected =
+                mState.mDurations.isKnown(task.mStep)
+                        && !task.mStep.mSpec.habits().longRunning()
+                        && !task.mStep.mSpec.habits().fills();
+        if (millis <= 0 || !expected) {
+            return;
+        }
+        boolean wasSlow = worker.mSpeed.isSlow(nowMillis);
+        double ratio = (double) millis / Math.max(1, mState.mDurations.taskMillis(task.mStep));
+        worker.mSpeed.record(task.mKey, ratio, nowMillis);
+        boolean isSlow = worker.mSpeed.isSlow(nowMillis);
+        if (wasSlow != isSlow) {
+            mState.mOutput.recordDecision(
+                    worker.mId,
+                    isSlow ? "worker is slow" : "worker is no longer slow",
+                    "run " + task.mKey + " takes %.1f times as long".formatted(ratio));
+        }
+    }
+
     /**
      * Handles a run that is missing from a report requested at {@code sentMillis}. Only a report
      * requested after the start, or after the acknowledged stop, proves that the run is gone.
@@ -276,7 +297,9 @@
         if (completed) {
             mHealth.recordSuccess(worker);
             if (isCurrentRun && task.mPhase == Task.Phase.RUNNING && task.mRun == 1) {
-                mState.mDurations.recordRun(workflow.mSpec.queue(), nowMillis - task.mPhaseMillis);
+                long millis = nowMillis - task.mPhaseMillis;
+                recordSpeed(worker, task, millis, nowMillis);
+                mState.mDurations.recordRun(workflow.mSpec.queue(), millis);
             }
             completeTask(task, isCurrentRun, nowMillis);
         } else if (isCurrentRun) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -10,6 +10,9 @@
     private static final int UNKNOWN_PERCENT = -1;
     private static final int COMPLETE_PERCENT = 100;
 
+    /** Shortest time between two reports of a run from which its duration is extrapolated. */
+    private static final long MIN_OBSERVED_MILLIS = 150;
+
     final Step mStep;
     final TaskKey mKey;
 
@@ -110,6 +113,22 @@
         return mPercentMillis + elapsedMillis * (COMPLETE_PERCENT - mPercent) / progress;
     }
 
+    /**
+     * Returns the duration of the whole run, extrapolated from its progress so far, in
+     * milliseconds; -1 if it was observed too briefly.
+     */
+    long projectedMillis(long nowMillis) {
+        long elapsedMillis = nowMillis - mFirstPercentMillis;
+        if (mPhase != Phase.RUNNING
+                || mPercent == UNKNOWN_PERCENT
+                || elapsedMillis < MIN_OBSERVED_MILLIS) {
+            return -1;
+        }
+        // Progress is reported in whole percent.
+        int progress = Math.max(1, mPercent - mFirstPercent);
+        return elapsedMillis * COMPLETE_PERCENT / progress;
+    }
+
     /** Returns whether the current run was ordered to stop. */
     boolean isStopOrdered() {
         return mStopSentMillis > 0;
