Keep at most eight daemons free of long approval calls

Cause: a third of the daemons makes short calls only.

Change: at most eight daemons are reserved, so that 39 of 47 make long calls.

ApprovalDispatcherTest.mostDaemonsOfALargeCellMakeLongCalls sent 32 before.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -39,6 +39,9 @@
     /** One of this many daemons is reserved for short calls, as long ones would delay them. */
     private static final int DAEMONS_PER_RESERVED_DAEMON = 3;
 
+    /** Maximum number of reserved daemons: 16 calls of 0.1 s at a time carry a burst. */
+    private static final int MAX_RESERVED_DAEMONS = 8;
+
     /** Interval between two pings of a daemon. */
     private static final long PING_INTERVAL_MILLIS = 400;
 
@@ -158,7 +161,8 @@
     }
 
     private static int longCallMemberCount(int members) {
-        return Math.max(1, members - members / DAEMONS_PER_RESERVED_DAEMON);
+        int reserved = Math.min(MAX_RESERVED_DAEMONS, members / DAEMONS_PER_RESERVED_DAEMON);
+        return Math.max(1, members - reserved);
     }
 
     /** Numbers of further calls that may wait. */
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
@@ -36,7 +36,7 @@
             new WorkflowSettings(
                     "d", "run", "127.0.0.1:1", new SchedulerLimits(6_000, 900, 2_500), 1_500, 1);
     private final MemberRegistry mMembers = members(new UnansweredTable());
-    private final MemberRegistry mMembersWithPeer = members(new PeerTable());
+    private final MemberRegistry mMembersWithPeer = members(new PeerTable(1));
     private final ApprovalDispatcher mDispatcher = dispatcher(mMembers);
 
     private MemberRegistry members(PartitionTable table) {
@@ -127,6 +127,20 @@
         assertEquals(1, mDispatcher.remainingCalls().shortCalls());
     }
 
+    // Load pattern: a new owner has no tickets and asks for those of its whole backlog.
+    @Test
+    void mostDaemonsOfALargeCellMakeLongCalls() {
+        MemberRegistry members = members(new PeerTable(46));
+        ApprovalDispatcher dispatcher = dispatcher(members);
+        members.start();
+        await().until(() -> members.all().size() == 47);
+        dispatcher.pingMembers();
+        mApprovals.mPing.complete(true);
+        dispatcher.enqueue(requests(BACKLOG, 1, 1_000));
+        members.stop();
+        assertEquals(39, mApprovals.mSent.size());
+    }
+
     private int drain() {
         while (mApprovals.hasOpenCall()) {
             mApprovals.answerFirst();
@@ -143,19 +157,23 @@
         return requests;
     }
 
-    /** Table that lists another daemon. */
+    /** Table that lists other daemons. */
     private static final class PeerTable extends UnansweredTable {
+        private final int mPeerCount;
+
+        PeerTable(int peerCount) {
+            mPeerCount = peerCount;
+        }
+
         @Override
         public CompletableFuture<Either<TableError, Page>> read(Range range) {
-            MemberRow peer = new MemberRow("peer", "run", "127.0.0.1:2", 1);
-            Key key = new Key(range.table(), "", peer.name());
-            return CompletableFuture.completedFuture(
-                    Either.right(
-                            new Page(
-                                    List.of(new Entry(key, 1, MessageCodec.encode(peer))),
-                                    false,
-                                    1,
-                                    0)));
+            List<Entry> entries = new ArrayList<>();
+            for (int i = 0; i < mPeerCount; i++) {
+                MemberRow peer = new MemberRow("peer" + i, "run", "127.0.0.1:2", 1);
+                Key key = new Key(range.table(), "", peer.name());
+                entries.add(new Entry(key, 1, MessageCodec.encode(peer)));
+            }
+            return CompletableFuture.completedFuture(Either.right(new Page(entries, false, 1, 0)));
         }
     }
 
