Notice over the peer link that the process of a silent owner has ended

Weighed: campaigning on any lost connection (resets of all connections would cost a takeover each) and pings without an answer (a cut or a freeze, which the silence covers).

Change: once the row has missed a heartbeat (500 ms), strong daemons ping the owner. Only if its host refuses the connection (CallError.Kind.ABSENT) they campaign, as if the owner had asked for it. TakeoverCoordinator holds both ways; event E5112.

PeerLinkTest.unreachablePeerGivesNotRun is absentPeerGivesNotRun now: it called a port without a listener and expected the general kind; it expects the exact one.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -101,6 +101,8 @@
     TAKEOVER_REQUESTED(5110, Level.WARNING, "takeover requested", "epoch", "peers"),
     /** A request to take over did not reach a daemon. */
     TAKEOVER_REQUEST_LOST(5111, Level.INFO, "takeover request lost", "peer", "reason"),
+    /** The host of a silent owner of the pools refuses connections: its process has ended. */
+    OWNER_ABSENT(5112, Level.INFO, "pool owner is absent", "owner", "epoch"),
     /** The table store does not answer this daemon. */
     TABLE_UNREACHABLE(5201, Level.WARNING, "table store unreachable", "table", "reason"),
     /** The table store answers this daemon again. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/ClientConnection.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/ClientConnection.java
@@ -1,7 +1,9 @@
 package org.hyssoprouter.daemon.peer;
 
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.vavr.control.Option;
+import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -70,7 +72,12 @@
 
     /** Fails all pending calls after the connection could not be opened. */
     void onConnectFailed(@Nullable Throwable cause) {
-        failAll(CallError.Kind.UNREACHABLE, "cannot connect to the peer: " + cause);
+        // The exception of a timeout is a subclass.
+        boolean refused =
+                cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
+        failAll(
+                refused ? CallError.Kind.ABSENT : CallError.Kind.UNREACHABLE,
+                "cannot connect to the peer: " + cause);
     }
 
     private void enqueue(PendingCall call, long submittedMillis, long timeoutMillis) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Election.java
@@ -28,6 +28,9 @@
      */
     static final long MIN_CONTINUOUS_READ_MILLIS = 1_100;
 
+    /** Time without a change of the owner's row after which the owner is checked: a heartbeat. */
+    static final long OWNER_CHECK_MILLIS = OwnerCommitter.HEARTBEAT_MILLIS + 100;
+
     /** Duration of uninterrupted reads required to take over from an owner that asks for it. */
     static final long MIN_TAKEOVER_READ_MILLIS = 300;
 
@@ -57,6 +60,7 @@
     private long mVersion;
     private boolean mRowChanged;
     private boolean mTakeoverRequested;
+    private long mCheckedVersion = UNKNOWN;
     private boolean mLowCpu;
     private long mUnchangedSinceMillis = UNKNOWN;
     private long mContinuousSinceMillis = UNKNOWN;
@@ -106,6 +110,24 @@
                                         && row.epoch() == request.epoch());
     }
 
+    /**
+     * Returns the row of another owner that has missed its heartbeat and should be checked over the
+     * peer link. Returns each version of the row once.
+     *
+     * @param storeMillis steady clock of the store, in milliseconds
+     */
+    synchronized Option<OwnerRow> ownerToCheck(long storeMillis) {
+        boolean silent =
+                mUnchangedSinceMillis != UNKNOWN
+                        && !mRowChanged
+                        && storeMillis - mUnchangedSinceMillis >= OWNER_CHECK_MILLIS;
+        if (!silent || mLowCpu || mVersion == mCheckedVersion) {
+            return Option.none();
+        }
+        mCheckedVersion = mVersion;
+        return mRow.filter(row -> !row.released() && !row.owner().equals(mSettings.name()));
+    }
+
     /** Restarts the measurement of uninterrupted reads. */
     synchronized void onReadFailed() {
         mContinuousSinceMillis = UNKNOWN;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.log.EventLogger;
@@ -53,8 +52,6 @@
     /** Time without an answer of the store after which calls are forwarded: two slow reads. */
     private static final long FORWARD_TIMEOUT_MILLIS = 1_200;
 
-    private static final long TAKEOVER_REQUEST_TIMEOUT_MILLIS = 700;
-
     private final Ports mPorts;
     private final WorkflowSettings mSettings;
     private final SerialExecutor mThread = new SingleThreadExecutor("workflows");
@@ -62,6 +59,7 @@
     private final WorkflowStateCache mStates;
     private final ForwardingWorkflowService mService;
     private final Election mElection;
+    private final TakeoverCoordinator mTakeovers;
     private @Nullable PoolOwner mOwner;
     private boolean mCampaigning;
     private boolean mOwnershipDisabled;
@@ -108,6 +106,13 @@
                         mThread::schedule,
                         ports.clock(),
                         mElection::recordRoundTrip);
+        mTakeovers =
+                new TakeoverCoordinator(
+                        mElection,
+                        mMembers,
+                        ports.peers(),
+                        mThread,
+                        () -> campaignIfDue(storeMillis()));
         mStates = new WorkflowStateCache(ports.table(), new OwnerRowListener(), ports.clock());
         LocalWorkflowService local =
                 new LocalWorkflowService(
@@ -215,7 +220,7 @@
             return mService.serve(payload);
         }
         if (type == PeerCallType.POOLS_TAKEOVER.number()) {
-            return handleTakeoverRequest(payload);
+            return mTakeovers.handleRequest(payload);
         }
         if (type != PeerCallType.APPROVAL.number()) {
             return CompletableFuture.failedFuture(
@@ -232,42 +237,6 @@
         }
     }
 
-    private CompletableFuture<byte[]> handleTakeoverRequest(byte[] payload) {
-        try {
-            TakeoverRequest request = MessageCodec.decode(payload, TakeoverRequest.class);
-            mElection.onTakeoverRequested(request);
-            mThread.schedule(
-                    () -> campaignIfDue(mStates.storeClock().millis()), mElection.staggerMillis());
-            return CompletableFuture.completedFuture(new byte[0]);
-        } catch (IOException e) {
-            return CompletableFuture.failedFuture(e);
-        }
-    }
-
-    /** Asks strong peers to take over; this owner goes on until its row names another one. */
-    private void requestTakeover(PoolOwner owner) {
-        List<MemberRow> peers = mMembers.strongPeers(Election.LOW_CPU_RATIO);
-        LOG.log(LogEvent.TAKEOVER_REQUESTED, owner.epoch(), peers.size());
-        byte[] payload =
-                MessageCodec.encode(new TakeoverRequest(mSettings.incarnation(), owner.epoch()));
-        for (MemberRow peer : peers) {
-            CompletableFuture<Void> unused =
-                    mPorts.peers()
-                            .call(
-                                    peer.address(),
-                                    PeerCallType.POOLS_TAKEOVER.number(),
-                                    TrafficClass.URGENT,
-                                    payload,
-                                    TAKEOVER_REQUEST_TIMEOUT_MILLIS)
-                            .thenAccept(
-                                    reply -> reply.peekLeft(error -> logUndelivered(peer, error)));
-        }
-    }
-
-    private static void logUndelivered(MemberRow peer, CallError error) {
-        LOG.log(LogEvent.TAKEOVER_REQUEST_LOST, peer.name(), error.message());
-    }
-
     /** Calls the approval service directly or through another daemon. */
     private final class PeerApprovalTransport implements ApprovalDispatcher.ApprovalTransport {
         @Override
@@ -305,6 +274,10 @@
                 .thenApply(reply -> reply.flatMap(ApprovalReply::decode));
     }
 
+    private long storeMillis() {
+        return mStates.storeClock().millis();
+    }
+
     private void campaignIfDue(long storeMillis) {
         mElection.setMaxCores(mMembers.maxCores());
         boolean tooEarly = mPorts.clock().millis() < mNextCampaignMillis;
@@ -384,6 +357,7 @@
             mThread.execute(
                     () -> {
                         mLastStoreMillis = storeMillis;
+                        mTakeovers.checkOwnerIfSilent(storeMillis);
                         campaignIfDue(storeMillis);
                     });
         }
@@ -427,7 +401,7 @@
 
         @Override
         public void onCommitsRefused(PoolOwner owner) {
-            mThread.execute(() -> requestTakeover(owner));
+            mThread.execute(() -> mTakeovers.requestTakeover(owner.epoch()));
         }
 
         @Override
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
@@ -96,11 +96,11 @@
     }
 
     @Test
-    void unreachablePeerGivesNotRun() throws Exception {
+    void absentPeerGivesNotRun() throws Exception {
         var result = mClient.call("127.0.0.1:1", TYPE, TrafficClass.NORMAL, new byte[1], 5000);
         CallError error = get(result).getLeft();
         assertEquals(Verdict.NOT_RUN, error.verdict());
-        assertEquals(CallError.Kind.UNREACHABLE, error.kind());
+        assertEquals(CallError.Kind.ABSENT, error.kind());
     }
 
     @Test
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ElectionTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ElectionTest.java
@@ -96,6 +96,18 @@
         assertFalse(mElection.shouldCampaign(1_900));
     }
 
+    @Test
+    void silentOwnerIsCheckedOnceForEachVersionOfItsRow() {
+        mElection.setMaxCores(0.36);
+        mElection.onOwnerRow(Option.some(row("b", "run-1", false)), 1);
+        assertFalse(mElection.shouldCampaign(1_000));
+        assertTrue(mElection.ownerToCheck(1_000 + Election.OWNER_CHECK_MILLIS - 1).isEmpty());
+        assertTrue(mElection.ownerToCheck(1_000 + Election.OWNER_CHECK_MILLIS).isDefined());
+        assertTrue(mElection.ownerToCheck(1_000 + Election.OWNER_CHECK_MILLIS).isEmpty());
+        mElection.onOwnerRow(Option.some(row("b", "run-1", false)), 2);
+        assertTrue(mElection.ownerToCheck(2_000).isEmpty(), "the row has just changed");
+    }
+
     @Test
     void restartedOwnerCampaignsAtOnce() {
         mElection.onOwnerRow(Option.some(row("a", "run-1", false)), 1);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/CallError.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/CallError.java
@@ -15,6 +15,8 @@
     public enum Kind {
         /** No connection could be made, or the call was never written. */
         UNREACHABLE,
+        /** The host answers that no process listens at the address. */
+        ABSENT,
         /**
          * The remote side refused the call: older epoch, expired lease or past not-after instant.
          */
