Make short approval calls through the nearest daemons

Calls of 24 ms took 96 to 108 ms in the mean, which every quick workflow waits for; after the loss of all hosts, 48 calls in one second ended without an answer, nearly all of them through far hosts that were just starting, and each took its daemon out for a second.

Change: daemons are ordered by the round trip of the pings that they get anyway; a short call goes where it is expected to be answered first, counting the calls that are open there. Long calls go through the farthest. Ruled out: longer timeouts, as the calls that fail are those that should not be made.

ApprovalDispatcherTest.shortCallsGoThroughTheNearestDaemons failed before (peer1, peer0, d, peer1).

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +49,12 @@
     /** Timeout of a ping, and time for which a daemon that answered one is considered reachable. */
     private static final long PING_VALIDITY_MILLIS = 1_200;
 
+    /** Usual duration of a short call; a daemon that is nearer by more is worth waiting for. */
+    private static final long SHORT_CALL_MILLIS = 25;
+
+    /** Weight of the last ping in the moving average of a daemon's round trip: one over this. */
+    private static final int ROUND_TRIP_WEIGHT = 4;
+
     /** Concurrent short calls through one daemon; the second one hides the network latency. */
     private static final int MAX_SHORT_CALLS = 2;
 
@@ -72,6 +79,17 @@
         boolean mPingOutstanding;
         long mPingSentMillis;
         long mAnsweredPingMillis = -1;
+
+        /** Moving average of the time from a ping to its answer, in milliseconds. */
+        long mRoundTripMillis;
+
+        void recordRoundTrip(long millis) {
+            mRoundTripMillis +=
+                    mAnsweredPingMillis < 0
+                            ? millis
+                            : (millis - mRoundTripMillis) / ROUND_TRIP_WEIGHT;
+        }
+
         int mConsecutiveFailures;
         long mBackoffEndMillis;
     }
@@ -142,7 +160,9 @@
         state.mPingOutstanding = false;
         if (answered) {
             // The transport bounds the time to the answer; a later handling is this side's delay.
-            state.mAnsweredPingMillis = mClock.millis();
+            long nowMillis = mClock.millis();
+            state.recordRoundTrip(nowMillis - state.mPingSentMillis);
+            state.mAnsweredPingMillis = nowMillis;
             dispatch();
         }
     }
@@ -156,8 +176,12 @@
                 && mClock.millis() - state.mAnsweredPingMillis < PING_VALIDITY_MILLIS;
     }
 
+    /** Returns the reachable daemons, the nearest first. */
     private List<MemberRow> reachableMembers() {
-        return mMembers.all().stream().filter(this::isReachable).toList();
+        return mMembers.all().stream()
+                .filter(this::isReachable)
+                .sorted(Comparator.comparingLong(it -> stateOf(it).mRoundTripMillis))
+                .toList();
     }
 
     private static int longCallMemberCount(int members) {
@@ -199,12 +223,11 @@
             return;
         }
         long startNanos = System.nanoTime();
-        List<MemberRow> members = reachableMembers();
-        List<MemberRow> longCallMembers = members.subList(0, longCallMemberCount(members.size()));
-        // Short calls are assigned from the end of the list, so that they rarely share a daemon
-        // with long ones.
-        List<MemberRow> shortCallMembers = new ArrayList<>(members);
-        Collections.reverse(shortCallMembers);
+        List<MemberRow> shortCallMembers = reachableMembers();
+        // The way to a far daemon matters less for long calls.
+        List<MemberRow> longCallMembers = new ArrayList<>(shortCallMembers);
+        Collections.reverse(longCallMembers);
+        longCallMembers = longCallMembers.subList(0, longCallMemberCount(shortCallMembers.size()));
         boolean sent = true;
         while (sent) {
             sent = sendNext(longCallMembers, shortCallMembers);
@@ -216,11 +239,9 @@
     /** Sends the most urgent request that some daemon can take. Returns false if there is none. */
     private boolean sendNext(List<MemberRow> longCallMembers, List<MemberRow> shortCallMembers) {
         MemberRow viaLong =
-                mPendingRequests.longCallCount() > 0 ? leastLoaded(longCallMembers, 1) : null;
+                mPendingRequests.longCallCount() > 0 ? firstIdle(longCallMembers) : null;
         MemberRow viaShort =
-                mPendingRequests.shortCallCount() > 0
-                        ? leastLoaded(shortCallMembers, MAX_SHORT_CALLS)
-                        : null;
+                mPendingRequests.shortCallCount() > 0 ? quickest(shortCallMembers) : null;
         if (viaLong != null && (viaShort == null || mPendingRequests.isLongCallNext())) {
             send(mPendingRequests.removeLongCall(), viaLong, MAX_SHORT_CALLS);
             return true;
@@ -232,16 +253,34 @@
         return false;
     }
 
-    /** Returns the daemon with the fewest open calls below a limit, or null if all are occupied. */
-    private @Nullable MemberRow leastLoaded(List<MemberRow> members, int limit) {
+    /** Returns the first daemon without open calls, or null if all are occupied. */
+    private @Nullable MemberRow firstIdle(List<MemberRow> members) {
+        long nowMillis = mClock.millis();
+        for (MemberRow member : members) {
+            MemberState state = stateOf(member);
+            if (state.mOpenCalls == 0 && state.mBackoffEndMillis <= nowMillis) {
+                return member;
+            }
+        }
+        return null;
+    }
+
+    /**
+     * Returns the daemon through which a short call is expected to be answered first, or null if
+     * all are occupied.
+     */
+    private @Nullable MemberRow quickest(List<MemberRow> members) {
         long nowMillis = mClock.millis();
         MemberRow best = null;
-        int fewest = limit;
+        long shortest = Long.MAX_VALUE;
         for (MemberRow member : members) {
             MemberState state = stateOf(member);
-            if (state.mOpenCalls < fewest && state.mBackoffEndMillis <= nowMillis) {
+            long millis = state.mRoundTripMillis + state.mOpenCalls * SHORT_CALL_MILLIS;
+            if (state.mOpenCalls < MAX_SHORT_CALLS
+                    && state.mBackoffEndMillis <= nowMillis
+                    && millis < shortest) {
                 best = member;
-                fewest = state.mOpenCalls;
+                shortest = millis;
             }
         }
         return best;
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
@@ -6,6 +6,7 @@
 
 import io.vavr.control.Either;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -141,6 +142,25 @@
         assertEquals(39, mApprovals.mSent.size());
     }
 
+    // Guards against quick work that waits for the way to another region and back.
+    @Test
+    void shortCallsGoThroughTheNearestDaemons() {
+        MemberRegistry members = members(new PeerTable(2));
+        ApprovalDispatcher dispatcher = dispatcher(members);
+        members.start();
+        await().until(() -> members.all().size() == 3);
+        dispatcher.pingMembers();
+        mClock.mNowMillis += 2;
+        mApprovals.answerPing("peer0");
+        mClock.mNowMillis += 78;
+        mApprovals.answerPing("peer1");
+        dispatcher.enqueue(requests(4, 0, 20));
+        assertEquals(List.of("d", "peer0", "d", "peer0"), mApprovals.mVia);
+        dispatcher.enqueue(requests(1, 0, 20));
+        members.stop();
+        assertEquals("peer1", mApprovals.mVia.get(4), "the others are occupied");
+    }
+
     private int drain() {
         while (mApprovals.hasOpenCall()) {
             mApprovals.answerFirst();
@@ -192,10 +212,16 @@
     /** Approval service whose calls the test answers. */
     private static final class ManualApprovals implements ApprovalDispatcher.ApprovalTransport {
         private final CompletableFuture<Boolean> mPing = new CompletableFuture<>();
+        private final Map<String, CompletableFuture<Boolean>> mPings = new HashMap<>();
+        private final List<String> mVia = new ArrayList<>();
         private final List<ApprovalRequest> mSent = new ArrayList<>();
         private final List<CompletableFuture<Either<CallError, ApprovalTickets>>> mOpen =
                 new ArrayList<>();
 
+        void answerPing(String member) {
+            mPings.getOrDefault(member, mPing).complete(true);
+        }
+
         ApprovalRequest last() {
             return mSent.get(mSent.size() - 1);
         }
@@ -214,13 +240,16 @@
             CompletableFuture<Either<CallError, ApprovalTickets>> answer =
                     new CompletableFuture<>();
             mSent.add(request);
+            mVia.add(via.name());
             mOpen.add(answer);
             return answer;
         }
 
         @Override
         public CompletableFuture<Boolean> ping(MemberRow member, long timeoutMillis) {
-            return mPing;
+            CompletableFuture<Boolean> own = new CompletableFuture<>();
+            mPings.put(member.name(), own);
+            return CompletableFuture.anyOf(mPing, own).thenApply(answered -> (Boolean) answered);
         }
     }
 }
