--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/DirectExecutor.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/DirectExecutor.java
@@ -3,7 +3,7 @@
 import org.hyssoprouter.daemon.ownership.SerialExecutor;
 
 /** Runs tasks immediately on the caller's thread; drops delayed and repeated ones. */
-final class DirectExecutor implements SerialExecutor {
+class DirectExecutor implements SerialExecutor {
     @Override
     public void execute(Runnable task) {
         task.run();
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -9,7 +9,6 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
-import org.hyssoprouter.daemon.ownership.SerialExecutor;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.lib.Room;
@@ -184,26 +183,12 @@
         mScheduler.place(mNowMillis);
     }
 
-    /** Runs tasks in the calling thread, delayed ones at once. */
-    private static final class RepeatingExecutor implements SerialExecutor {
-        @Override
-        public void execute(Runnable task) {
-            task.run();
-        }
-
+    /** Runs delayed tasks at once, too. */
+    private static final class RepeatingExecutor extends DirectExecutor {
         @Override
         public void schedule(Runnable task, long delayMillis) {
             task.run();
         }
-
-        @Override
-        public void scheduleWithFixedDelay(Runnable task, long pauseMillis) {}
-
-        @Override
-        public void shutdownNow() {}
-
-        @Override
-        public void shutdown(long withinMillis) {}
     }
 
     /** Table that answers a commit when the test calls answer(). */
