Make long approval calls through the nearest daemons that are not reserved

Cause: long calls went through the farthest daemons first. After the loss of all hosts these are the ones that have only just started, as they answer pings late, and their first calls exceed the timeout.

ApprovalDispatcherTest.longCallsGoThroughTheNearestDaemonsThatAreNotReserved sent [peer1, peer0] before.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -1,8 +1,6 @@
 package org.hyssoprouter.daemon.workflow;
 
 import io.vavr.control.Either;
-import java.util.ArrayList;
-import java.util.Collections;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -224,10 +222,10 @@
         }
         long startNanos = System.nanoTime();
         List<MemberRow> shortCallMembers = reachableMembers();
-        // The way to a far daemon matters less for long calls.
-        List<MemberRow> longCallMembers = new ArrayList<>(shortCallMembers);
-        Collections.reverse(longCallMembers);
-        longCallMembers = longCallMembers.subList(0, longCallMemberCount(shortCallMembers.size()));
+        int count = shortCallMembers.size();
+        // The nearest daemons are reserved; the farthest may be hosts that are just starting.
+        List<MemberRow> longCallMembers =
+                shortCallMembers.subList(count - longCallMemberCount(count), count);
         boolean sent = true;
         while (sent) {
             sent = sendNext(longCallMembers, shortCallMembers);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
@@ -161,6 +161,23 @@
         assertEquals("peer1", mApprovals.mVia.get(4), "the others are occupied");
     }
 
+    // Load pattern: all hosts have just started, and the slowest ones answer pings late.
+    @Test
+    void longCallsGoThroughTheNearestDaemonsThatAreNotReserved() {
+        MemberRegistry members = members(new PeerTable(2));
+        ApprovalDispatcher dispatcher = dispatcher(members);
+        members.start();
+        await().until(() -> members.all().size() == 3);
+        dispatcher.pingMembers();
+        mClock.mNowMillis += 2;
+        mApprovals.answerPing("peer0");
+        mClock.mNowMillis += 78;
+        mApprovals.answerPing("peer1");
+        dispatcher.enqueue(requests(2, 1, 1_000));
+        members.stop();
+        assertEquals(List.of("peer0", "peer1"), mApprovals.mVia);
+    }
+
     private int drain() {
         while (mApprovals.hasOpenCall()) {
             mApprovals.answerFirst();
