--- a/review/standin/ManyEnds.java
+++ b/review/standin/ManyEnds.java
@@ -3,7 +3,7 @@
 
 /** The owner's process is killed while more than 500 runs end on one executor. */
 final class ManyEnds {
-    private static final int JOBS = 80;
+    private static final int JOBS = 20;
     private static final int TASKS = 60;
 
     private ManyEnds() {}
@@ -14,7 +14,7 @@
 
     private static boolean isBroken(Site site) throws Exception {
         site.configure(List.of(Site.route("remind", 0, 4)));
-        site.addExecutors(8);
+        site.addExecutors(33);
         site.addDaemons(3);
         if (!site.awaitReady(40_000)) {
             throw new IllegalStateException("daemons are not ready");
