--- a/review/standin/ManyEnds.java
+++ b/review/standin/ManyEnds.java
@@ -38,7 +38,7 @@
             throw new IllegalStateException("not all tasks were started");
         }
         long firstEnd = site.runs().get(0).mStartedAt + 4_000;
-        Site.pause(Math.max(0, firstEnd - 500 - site.recorder().millis()));
+        Site.pause(Math.max(0, firstEnd - 100 - site.recorder().millis()));
         if (Site.trouble()) {
             Site.Daemon owner = site.owner();
             owner.kill();
