Log why the owner takes a run for lost

A run that a new owner took for gone left no line at all.

E5005 "worker restarted" names its source (list or report), the former start time and the runs on the worker; "run lost" and "run missing" name the phase, its age, whether the start was sent and whether a report had listed the run. "run missing" is also logged for inherited runs, with the size of the report. E5011 names the outcome of each attempt of a start but the first accepted one.

No decision changes. Tests of both workflow packages pass.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -64,6 +64,9 @@
     WORKFLOW_FORWARDED(5009, Level.INFO, "call forwarded to peer", "id", "kind", "peer", "answer"),
     /** A workflow has failed because its tasks crash workers. */
     WORKFLOW_GIVEN_UP(5010, Level.WARNING, "workflow given up", "id", "queue", "reason"),
+    /** An attempt to deliver a start was not accepted, or was not the first one. */
+    RUN_START_ATTEMPTED(
+            5011, Level.INFO, "run start attempted", "task", "run", "worker", "attempt", "outcome"),
     /** This daemon acquired the ownership of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon released or lost the ownership of the pools. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunDispatcher.java
@@ -114,6 +114,7 @@
 
     private void handleStartOutcome(Attempt attempt, StartOutcome outcome) {
         mLoadMonitor.recordStartOutcome(outcome);
+        logIfUnusual(attempt, outcome);
         if (mClosed) {
             return;
         }
@@ -131,6 +132,19 @@
         }
     }
 
+    private static void logIfUnusual(Attempt attempt, StartOutcome outcome) {
+        if (outcome != StartOutcome.ACCEPTED || attempt.number() > 1) {
+            TaskStart order = attempt.order();
+            LOG.log(
+                    LogEvent.RUN_START_ATTEMPTED,
+                    order.task(),
+                    order.run(),
+                    order.workerId(),
+                    attempt.number(),
+                    outcome);
+        }
+    }
+
     /** Repeats an attempt that was not sent, unless the order has been superseded meanwhile. */
     private void resend(Attempt attempt) {
         if (mClosed) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
@@ -20,20 +20,20 @@
     private static final int LONG_RUNNING_PERCENT = 100;
 
     private final PoolState mState;
-    private final RunTracker mRuns;
+    private final LostRuns mLostRuns;
     private final WorkerHealthTracker mHealth;
     private final WorkerDrainer mDrainer;
     private final long mOwnershipStartMillis;
 
     PeriodicChecks(
             PoolState state,
-            RunTracker runs,
+            LostRuns lostRuns,
             WorkerHealthTracker health,
             long ownershipStartMillis) {
         mState = state;
-        mRuns = runs;
+        mLostRuns = lostRuns;
         mHealth = health;
-        mDrainer = new WorkerDrainer(state, runs);
+        mDrainer = new WorkerDrainer(state);
         mOwnershipStartMillis = ownershipStartMillis;
     }
 
@@ -77,7 +77,7 @@
                 nowMillis - mOwnershipStartMillis > mState.mLimits.leaseExpiryMillis();
         if (neverReported ? previousLeasesExpired : worker.mClock.allLeasesExpired(nowMillis)) {
             worker.releaseUnallocated();
-            mRuns.handleLostRuns(worker, WorkerLoss.presumed("leases lapsed"), nowMillis);
+            mLostRuns.handleAll(worker, WorkerLoss.presumed("leases lapsed"), nowMillis);
             return;
         }
         mDrainer.stopUnfinishableRuns(worker, nowMillis);
@@ -106,7 +106,7 @@
         if (mayStall && nowMillis - task.mPercentMillis > STALL_TIMEOUT_MILLIS) {
             mHealth.recordStall(worker, task, nowMillis);
             mState.stopRun(task, "no progress", nowMillis);
-            mRuns.abortGang(task, "member stalled", nowMillis);
+            mState.abortGang(task, "member stalled", nowMillis);
         }
     }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -37,6 +37,7 @@
 
     private final PoolState mState;
     private final RunTracker mRuns;
+    private final LostRuns mLostRuns;
     private final PeriodicChecks mPeriodicChecks;
     private final long mOwnershipStartMillis;
 
@@ -56,8 +57,9 @@
             Function<DurationEstimator, PlacementOrder> order) {
         mState = new PoolState(limits, order);
         WorkerHealthTracker health = new WorkerHealthTracker(mState);
-        mRuns = new RunTracker(mState, health);
-        mPeriodicChecks = new PeriodicChecks(mState, mRuns, health, nowMillis);
+        mLostRuns = new LostRuns(mState);
+        mRuns = new RunTracker(mState, health, mLostRuns);
+        mPeriodicChecks = new PeriodicChecks(mState, mLostRuns, health, nowMillis);
         mOwnershipStartMillis = nowMillis;
     }
 
@@ -117,7 +119,7 @@
                 mState.mWorkers.computeIfAbsent(
                         entry.id(), id -> new PoolWorker(entry, mState.mLimits, mState.mUsage));
         if (worker.isNewIncarnation(entry.incarnationMillis())) {
-            mRuns.handleNewIncarnation(worker, entry.incarnationMillis(), nowMillis);
+            mLostRuns.handleListedIncarnation(worker, entry.incarnationMillis(), nowMillis);
         }
         worker.update(entry, nowMillis);
         worker.mListed = true;
@@ -147,7 +149,7 @@
         if (worker != null && sameIncarnation) {
             worker.mListed = false;
             worker.releaseUnallocated();
-            mRuns.handleLostRuns(worker, WorkerLoss.ended(reason), nowMillis);
+            mLostRuns.handleAll(worker, WorkerLoss.ended(reason), nowMillis);
         }
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -183,4 +183,45 @@
             }
         }
     }
+
+    /** Stops the other members of a task's gang, as a gang only runs as a whole. */
+    void abortGang(Task task, String reason, long nowMillis) {
+        if (!task.mStep.mSpec.gang()) {
+            return;
+        }
+        for (Task member : task.mStep.mTasks) {
+            boolean active =
+                    member.mPhase == Task.Phase.RUNNING || member.mPhase == Task.Phase.PLACED;
+            if (!member.equals(task) && active) {
+                stopRun(member, reason, nowMillis);
+            }
+        }
+    }
+
+    /**
+     * Releases the worker of a task whose run has ended and, unless its workflow has ended, queues
+     * it again.
+     */
+    void requeue(Task task, long nowMillis) {
+        task.releaseWorker(nowMillis);
+        Step step = task.mStep;
+        markReleased(step.mWorkflow);
+        if (task.mPhase == Task.Phase.WAITING && !step.mWorkflow.mState.isFinal()) {
+            mWaitingSteps.add(step);
+        }
+    }
+
+    /**
+     * Marks an ended workflow as changed once its last run is over, so that a new owner does not
+     * count that run for the quota of the workspace.
+     */
+    void markReleased(Workflow workflow) {
+        boolean ended =
+                workflow.mState.isFinal()
+                        && !workflow.mSpec.workspace().isEmpty()
+                        && !workflow.mOccurrences.isEmpty();
+        if (ended && workflow.openSteps().stream().noneMatch(Step::hasRoom)) {
+            mOutput.markChanged(workflow);
+        }
+    }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -1,9 +1,7 @@
 package org.hyssoprouter.internal.workflow;
 
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.function.Predicate;
 import org.hyssoprouter.lib.workflow.EndKind;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.RunReport;
@@ -23,12 +21,12 @@
 
     private final PoolState mState;
     private final WorkerHealthTracker mHealth;
-    private final CrashTracker mCrashes;
+    private final LostRuns mLostRuns;
 
-    RunTracker(PoolState state, WorkerHealthTracker health) {
+    RunTracker(PoolState state, WorkerHealthTracker health, LostRuns lostRuns) {
         mState = state;
         mHealth = health;
-        mCrashes = new CrashTracker(state);
+        mLostRuns = lostRuns;
     }
 
     /**
@@ -65,7 +63,7 @@
         } else if (task.mPhase == Task.Phase.PLACED || task.mPhase == Task.Phase.STOPPING) {
             handleRejectedStart(task, task.mWorker, outcome, nowMillis);
         }
-        abortGang(task, "member not started", nowMillis);
+        mState.abortGang(task, "member not started", nowMillis);
         return true;
     }
 
@@ -104,7 +102,7 @@
             case NOT_SENT -> excludeIfUnreachable(task, worker);
             default -> worker.mExcludedUntilMillis = nowMillis + REJECTION_PAUSE_MILLIS;
         }
-        requeue(task, nowMillis);
+        mState.requeue(task, nowMillis);
     }
 
     /**
@@ -141,7 +139,7 @@
         report.running().forEach(run -> running.put(run.task(), run));
         if (worker.isNewIncarnation(report.incarnationMillis())) {
             // A start that was on its way during the restart may have reached the new incarnation.
-            handleNewIncarnation(
+            mLostRuns.handleReportedIncarnation(
                     worker, report.incarnationMillis(), task -> isListed(task, running), nowMillis);
         }
         if (report.incarnationMillis() != worker.mIncarnationMillis) {
@@ -167,7 +165,7 @@
         }
         for (Task task : worker.tasks()) {
             if (!running.containsKey(task.mKey)) {
-                handleUnreportedRun(task, sentMillis, nowMillis);
+                mLostRuns.handleUnreported(task, report, sentMillis, nowMillis);
             }
         }
         return worker.mProcessedSequence;
@@ -178,47 +176,6 @@
         return run != null && run.run() == task.mRun;
     }
 
-    /** Switches to a new incarnation of a worker and requeues the runs of the previous one. */
-    void handleNewIncarnation(PoolWorker worker, long incarnationMillis, long nowMillis) {
-        handleNewIncarnation(worker, incarnationMillis, task -> false, nowMillis);
-    }
-
-    private void handleNewIncarnation(
-            PoolWorker worker, long incarnationMillis, Predicate<Task> isActive, long nowMillis) {
-        boolean isFirst = worker.mIncarnationMillis == 0;
-        worker.beginIncarnation(incarnationMillis);
-        if (isFirst) {
-            return;
-        }
-        mState.mOutput.recordDecision(worker.mId, "worker restarted", "born=" + incarnationMillis);
-        worker.mProcessedSequence = 0;
-        worker.mClock.reset();
-        mState.mWaitingSteps.forEach(step -> step.mApprovals.dropTicket(worker.mId));
-        List<Task> lost = worker.tasks().stream().filter(isActive.negate()).toList();
-        handleLostRuns(worker, lost, WorkerLoss.ended("worker restarted"), nowMillis);
-    }
-
-    /** Requeues all tasks on a worker whose runs are lost. */
-    void handleLostRuns(PoolWorker worker, WorkerLoss loss, long nowMillis) {
-        handleLostRuns(worker, worker.tasks(), loss, nowMillis);
-    }
-
-    private void handleLostRuns(
-            PoolWorker worker, List<Task> tasks, WorkerLoss loss, long nowMillis) {
-        mCrashes.recordLoss(worker, tasks, loss, nowMillis);
-        for (Task task : tasks) {
-            task.mStep.mApprovals.dropTicket(worker.mId);
-            mState.mOutput.recordDecision(
-                    task.mKey,
-                    "run lost",
-                    "worker=" + worker + " run=" + task.mRun + " " + loss.reason());
-            abortGang(task, "member lost", nowMillis);
-            requeue(task, nowMillis);
-            // Otherwise a new owner would wait for the worker's leases to expire once more.
-            mState.mOutput.markChanged(task.mStep.mWorkflow);
-        }
-    }
-
     /** Updates the task of a reported run. Returns false if the run has no allocation here. */
     private boolean handleReportedRun(
             PoolWorker worker, RunReport.Running run, long workerMillis, long nowMillis) {
@@ -264,35 +221,6 @@
         }
     }
 
-    /**
-     * Handles a run that is missing from a report requested at {@code sentMillis}. Only a report
-     * requested after the start, or after the acknowledged stop, proves that the run is gone.
-     */
-    private void handleUnreportedRun(Task task, long sentMillis, long nowMillis) {
-        switch (task.mPhase) {
-            case RUNNING -> {
-                if (task.mPhaseMillis < sentMillis) {
-                    mState.mOutput.recordDecision(
-                            task.mKey, "run missing", "worker=" + task.mWorker);
-                    abortGang(task, "member missing", nowMillis);
-                    requeue(task, nowMillis);
-                }
-            }
-            case STOPPING -> {
-                if (task.isStopConfirmedBefore(sentMillis)) {
-                    requeue(task, nowMillis);
-                }
-            }
-            case INHERITED -> requeue(task, nowMillis);
-            case DONE -> {
-                if (!task.isStopOrdered() || task.isStopConfirmedBefore(sentMillis)) {
-                    task.releaseWorker(nowMillis);
-                }
-            }
-            default -> {}
-        }
-    }
-
     /** Processes an ended run. Ends of earlier runs only matter if they completed the task. */
     private void handleEnd(PoolWorker worker, RunReport.Ended end, long nowMillis) {
         Task allocated = worker.task(end.task());
@@ -305,7 +233,7 @@
         if (workflow.mState.isFinal() || task.mPhase == Task.Phase.DONE) {
             if (isCurrentRun) {
                 task.releaseWorker(nowMillis);
-                markReleased(workflow);
+                mState.markReleased(workflow);
             }
             return;
         }
@@ -346,8 +274,8 @@
                 return;
             }
         }
-        abortGang(task, "member ended " + end.kind(), nowMillis);
-        requeue(task, nowMillis);
+        mState.abortGang(task, "member ended " + end.kind(), nowMillis);
+        mState.requeue(task, nowMillis);
     }
 
     /** Counts a failed run. Returns whether the task or its gang has exhausted its attempts. */
@@ -404,45 +332,4 @@
             mState.queueReadySteps(workflow, step.mKey.occurrence(), nowMillis);
         }
     }
-
-    /** Stops the other members of a task's gang, as a gang only runs as a whole. */
-    void abortGang(Task task, String reason, long nowMillis) {
-        if (!task.mStep.mSpec.gang()) {
-            return;
-        }
-        for (Task member : task.mStep.mTasks) {
-            boolean active =
-                    member.mPhase == Task.Phase.RUNNING || member.mPhase == Task.Phase.PLACED;
-            if (!member.equals(task) && active) {
-                mState.stopRun(member, reason, nowMillis);
-            }
-        }
-    }
-
-    /**
-     * Releases the worker of a task whose run has ended and, unless its workflow has ended, queues
-     * it again.
-     */
-    void requeue(Task task, long nowMillis) {
-        task.releaseWorker(nowMillis);
-        Step step = task.mStep;
-        markReleased(step.mWorkflow);
-        if (task.mPhase == Task.Phase.WAITING && !step.mWorkflow.mState.isFinal()) {
-            mState.mWaitingSteps.add(step);
-        }
-    }
-
-    /**
-     * Marks an ended workflow as changed once its last run is over, so that a new owner does not
-     * count that run for the quota of the workspace.
-     */
-    private void markReleased(Workflow workflow) {
-        boolean ended =
-                workflow.mState.isFinal()
-                        && !workflow.mSpec.workspace().isEmpty()
-                        && !workflow.mOccurrences.isEmpty();
-        if (ended && workflow.openSteps().stream().noneMatch(Step::hasRoom)) {
-            mState.mOutput.markChanged(workflow);
-        }
-    }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -198,6 +198,11 @@
         }
     }
 
+    /** Returns whether a report has listed the current run. */
+    boolean wasListed() {
+        return mFirstListedMillis >= 0;
+    }
+
     /** Returns whether the current run has lasted for the duration of a trial. */
     boolean hasPassedTrial() {
         return mTrialPassed;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerDrainer.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerDrainer.java
@@ -15,11 +15,9 @@
     static final long EXPECTED_EXTRA_STAY_MILLIS = 1_500;
 
     private final PoolState mState;
-    private final RunTracker mRuns;
 
-    WorkerDrainer(PoolState state, RunTracker runs) {
+    WorkerDrainer(PoolState state) {
         mState = state;
-        mRuns = runs;
     }
 
     /** Stops the runs of a worker that will not finish there, if the worker is draining. */
@@ -36,7 +34,7 @@
                                 + (worker.earliestDepartureMillis() - nowMillis);
                 mState.mOutput.recordDecision(task.mKey, "run moved", inputs + " ms");
                 mState.stopRun(task, "worker drains", nowMillis);
-                mRuns.abortGang(task, "member moved", nowMillis);
+                mState.abortGang(task, "member moved", nowMillis);
             }
         }
     }
