Keep runs that a worker's next incarnation may have

Cause: an order to start a run is not bound to an incarnation of the worker. One that is sent while the worker is down, or retried then, reaches the next incarnation, which rightly carries it out. When the owner learned of that incarnation from the list, it took every run on the worker for lost and placed the tasks elsewhere. One step on, the same cause: a start without an answer, a run accepted after the first report was requested, a stop that only the former incarnation had acknowledged, a run of a former owner, and leases that counted as lapsed because the clock of the new incarnation was not known yet.

Change: if a run may have reached the next incarnation (it was sent, and either not listed by the former one, or an attempt is unanswered, or a former owner sent it), the list only announces that incarnation, and its first report decides. What that report lists, or what was sent or answered since it was requested, is kept. The rest is lost, blamed for the crash as before, and placed again; if an attempt may still be carried out, the run is stopped first, and a worker that has acknowledged a stop rejects the late start. Ends in the first report count before anything is taken for lost.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunDispatcher.java
@@ -118,6 +118,9 @@
         if (mClosed) {
             return;
         }
+        if (outcome == StartOutcome.UNKNOWN) {
+            mScheduler.markStartUnanswered(attempt.order());
+        }
         boolean attemptsLeft = attempt.number() < MAX_START_ATTEMPTS;
         if (attemptsLeft
                 && outcome == StartOutcome.UNKNOWN
@@ -178,6 +181,7 @@
 
     /** Sends a stop and passes on whether the worker acknowledged it. */
     void sendStop(TaskStop order, long epoch) {
+        long sentMillis = mClock.millis();
         CompletableFuture<Void> unused =
                 PortCalls.recover(mRunner.stop(order, epoch), "stop", reason -> false)
                         .thenAccept(
@@ -185,7 +189,10 @@
                                         mThread.execute(
                                                 () -> {
                                                     mScheduler.handleStopReply(
-                                                            order, acknowledged, mClock.millis());
+                                                            order,
+                                                            acknowledged,
+                                                            sentMillis,
+                                                            mClock.millis());
                                                     mListener.onAnswerHandled();
                                                 }));
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
@@ -1,7 +1,6 @@
 package org.hyssoprouter.internal.workflow;
 
 import java.util.List;
-import java.util.function.Predicate;
 import org.hyssoprouter.lib.workflow.RunReport;
 
 /** Handles runs that are over without a reported end: lost with their worker, or unreported. */
@@ -14,42 +13,54 @@
         mCrashes = new CrashTracker(state);
     }
 
-    /** Switches to a listed incarnation of a worker and requeues the runs of the previous one. */
+    /**
+     * Switches to the incarnation of a worker that its entry names. Orders to the former one may
+     * have reached it, in which case its first report decides which runs are lost.
+     */
     void handleListedIncarnation(PoolWorker worker, long incarnationMillis, long nowMillis) {
-        handleNewIncarnation(worker, incarnationMillis, "list", task -> false, nowMillis);
+        List<Task> tasks = worker.tasks();
+        boolean awaitsReport = tasks.stream().anyMatch(Task::mayReachNextIncarnation);
+        if (!begin(worker, incarnationMillis, "list", nowMillis)) {
+            return;
+        }
+        worker.mAwaitsFirstReport = awaitsReport;
+        List<Task> lost =
+                awaitsReport ? tasks.stream().filter(it -> !it.isStartSent()).toList() : tasks;
+        handle(worker, lost, WorkerLoss.RESTART, nowMillis);
     }
 
     /**
-     * Switches to an incarnation of a worker that has sent a report.
-     *
-     * @param isListed whether the report lists the current run of a task
+     * Switches to an incarnation of a worker that has sent its first report, which {@link
+     * #handleUnreported(PoolWorker, List, RunReport, long, long)} evaluates.
      */
-    void handleReportedIncarnation(
-            PoolWorker worker, long incarnationMillis, Predicate<Task> isListed, long nowMillis) {
-        handleNewIncarnation(worker, incarnationMillis, "report", isListed, nowMillis);
+    void handleReportedIncarnation(PoolWorker worker, long incarnationMillis, long nowMillis) {
+        worker.mAwaitsFirstReport = begin(worker, incarnationMillis, "report", nowMillis);
     }
 
-    private void handleNewIncarnation(
-            PoolWorker worker,
-            long incarnationMillis,
-            String source,
-            Predicate<Task> isActive,
-            long nowMillis) {
+    /** Switches to an incarnation. Returns whether the worker had a former one. */
+    private boolean begin(
+            PoolWorker worker, long incarnationMillis, String source, long nowMillis) {
         long formerMillis = worker.mIncarnationMillis;
-        worker.beginIncarnation(incarnationMillis);
+        worker.beginIncarnation(incarnationMillis, nowMillis);
         if (formerMillis == 0) {
-            return;
+            return false;
         }
+        List<Task> tasks = worker.tasks();
         mState.mOutput.recordDecision(
                 worker.mId,
                 "worker restarted",
-                "born=%d former=%d source=%s runs=%d"
-                        .formatted(incarnationMillis, formerMillis, source, worker.runCount()));
+                "born=%d former=%d source=%s runs=%d listed=%d"
+                        .formatted(
+                                incarnationMillis,
+                                formerMillis,
+                                source,
+                                tasks.size(),
+                                tasks.stream().filter(Task::wasListed).count()));
         worker.mProcessedSequence = 0;
         worker.mClock.reset();
         mState.mWaitingSteps.forEach(step -> step.mApprovals.dropTicket(worker.mId));
-        List<Task> lost = worker.tasks().stream().filter(isActive.negate()).toList();
-        handle(worker, lost, WorkerLoss.ended("worker restarted"), nowMillis);
+        tasks.forEach(Task::resetForIncarnation);
+        return true;
     }
 
     /** Requeues all tasks on a worker whose runs are lost. */
@@ -68,12 +79,25 @@
                             .formatted(
                                     worker, task.mRun, loss.reason(), describe(task, nowMillis)));
             mState.abortGang(task, "member lost", nowMillis);
-            mState.requeue(task, nowMillis);
+            if (loss.restarted() && task.mayStartLate()) {
+                // Once the new incarnation has acknowledged a stop, it rejects a late start.
+                stopLateStart(task, nowMillis);
+            } else {
+                mState.requeue(task, nowMillis);
+            }
             // Otherwise a new owner would wait for the worker's leases to expire once more.
             mState.mOutput.markChanged(task.mStep.mWorkflow);
         }
     }
 
+    private void stopLateStart(Task task, long nowMillis) {
+        if (task.mPhase == Task.Phase.DONE) {
+            mState.repeatStop(task, nowMillis);
+        } else {
+            mState.stopRun(task, "start may be carried out late", nowMillis);
+        }
+    }
+
     /** Returns what is known about the current run of a task, for the log. */
     private static String describe(Task task, long nowMillis) {
         return "%s for %d ms, start %s, %s"
@@ -81,14 +105,35 @@
                         task.mPhase,
                         nowMillis - task.mPhaseMillis,
                         task.mayHaveBegun() ? "sent" : "not sent",
-                        task.wasListed() ? "was listed" : "never listed");
+                        task.wasListed() ? "listed" : "not listed by this incarnation");
+    }
+
+    /**
+     * Handles the tasks on a worker whose runs are missing from a report.
+     *
+     * @param sentMillis time at which the report was requested, in milliseconds
+     */
+    void handleUnreported(
+            PoolWorker worker,
+            List<Task> tasks,
+            RunReport report,
+            long sentMillis,
+            long nowMillis) {
+        if (worker.mAwaitsFirstReport) {
+            worker.mAwaitsFirstReport = false;
+            List<Task> lost =
+                    tasks.stream().filter(it -> !it.mayHaveStartedSince(sentMillis)).toList();
+            handle(worker, lost, WorkerLoss.RESTART, nowMillis);
+        } else {
+            tasks.forEach(task -> handleUnreported(task, report, sentMillis, nowMillis));
+        }
     }
 
     /**
      * Handles a run that is missing from a report requested at {@code sentMillis}. Only a report
      * requested after the start, or after the acknowledged stop, proves that the run is gone.
      */
-    void handleUnreported(Task task, RunReport report, long sentMillis, long nowMillis) {
+    private void handleUnreported(Task task, RunReport report, long sentMillis, long nowMillis) {
         switch (task.mPhase) {
             case RUNNING -> {
                 if (task.mPhaseMillis < sentMillis) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
@@ -73,8 +73,10 @@
             return;
         }
         boolean neverReported = !worker.mClock.isKnown();
+        // A start that has reached an incarnation without a report holds a lease there.
+        long leasedMillis = Math.max(mOwnershipStartMillis, worker.restartKnownMillis());
         boolean previousLeasesExpired =
-                nowMillis - mOwnershipStartMillis > mState.mLimits.leaseExpiryMillis();
+                nowMillis - leasedMillis > mState.mLimits.leaseExpiryMillis();
         if (neverReported ? previousLeasesExpired : worker.mClock.allLeasesExpired(nowMillis)) {
             worker.releaseUnallocated();
             mLostRuns.handleAll(worker, WorkerLoss.presumed("leases lapsed"), nowMillis);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -282,7 +282,7 @@
             mRuns.handleStartOutcome(order, StartOutcome.NO_TICKET, nowMillis);
             return false;
         }
-        task.markStartSent();
+        task.markStartSent(nowMillis);
         return true;
     }
 
@@ -313,9 +313,25 @@
         return mRuns.handleStartOutcome(order, outcome, nowMillis);
     }
 
-    /** Processes the reply to a stop order. */
-    public void handleStopReply(TaskStop order, boolean acknowledged, long nowMillis) {
-        mRuns.handleStopReply(order, acknowledged, nowMillis);
+    /**
+     * Records that an attempt to deliver a start was not answered, so that it may have been carried
+     * out or may still be.
+     */
+    public void markStartUnanswered(TaskStart order) {
+        Task task = mState.findTask(order.task());
+        if (task != null && task.mRun == order.run()) {
+            task.markAttemptUnanswered();
+        }
+    }
+
+    /**
+     * Processes the reply to a stop order.
+     *
+     * @param sentMillis time at which the order was sent, in milliseconds
+     */
+    public void handleStopReply(
+            TaskStop order, boolean acknowledged, long sentMillis, long nowMillis) {
+        mRuns.handleStopReply(order, acknowledged, sentMillis, nowMillis);
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -55,6 +55,12 @@
     /** Start time of the current incarnation, in milliseconds since 1970; 0 if unknown. */
     long mIncarnationMillis;
 
+    /** Owner's clock when it learned of a restart of this worker; that of the last one. */
+    private long mRestartKnownMillis = Long.MIN_VALUE;
+
+    /** Whether runs may have reached the current incarnation, which has not reported yet. */
+    boolean mAwaitsFirstReport;
+
     private final Set<Long> mFormerIncarnations = new HashSet<>();
     long mLastReportMillis = NO_REPORT;
     long mExcludedUntilMillis;
@@ -113,14 +119,25 @@
     }
 
     /** Makes an incarnation the current one and records its predecessor. */
-    void beginIncarnation(long incarnationMillis) {
+    void beginIncarnation(long incarnationMillis, long nowMillis) {
         mFormerIncarnations.add(mIncarnationMillis);
+        if (mIncarnationMillis != 0) {
+            mRestartKnownMillis = nowMillis;
+        }
         mIncarnationMillis = incarnationMillis;
         mSpeed.reset();
         mPace.reset();
         releaseUnallocated();
     }
 
+    /**
+     * Returns when the owner learned that this worker has restarted, in milliseconds; {@link
+     * Long#MIN_VALUE} if it knows of no restart.
+     */
+    long restartKnownMillis() {
+        return mRestartKnownMillis;
+    }
+
     /** Allocates room to a task, in place of any earlier allocation to it. */
     void allocate(Task task, Room room) {
         release(task.mKey);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -1,6 +1,7 @@
 package org.hyssoprouter.internal.workflow;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.hyssoprouter.lib.workflow.EndKind;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
@@ -41,6 +42,11 @@
         if (task == null || task.mRun != order.run() || task.mWorker == null) {
             return true;
         }
+        if (outcome == StartOutcome.UNKNOWN) {
+            task.markAttemptUnanswered();
+        } else {
+            task.recordStartAnswer(nowMillis);
+        }
         if (outcome == StartOutcome.ACCEPTED) {
             handleAcceptedStart(task, nowMillis);
             return true;
@@ -115,12 +121,16 @@
         }
     }
 
-    /** Processes the reply to a stop order. */
-    void handleStopReply(TaskStop order, boolean acknowledged, long nowMillis) {
+    /** Processes the reply to a stop order that was sent at {@code sentMillis}. */
+    void handleStopReply(TaskStop order, boolean acknowledged, long sentMillis, long nowMillis) {
         // The occurrence of a completed task may be closed while a run of it still has room.
         PoolWorker worker = mState.mWorkers.get(order.workerId());
-        Task task = worker == null ? null : worker.task(order.task());
-        if (task == null || task.mRun != order.run() || !acknowledged) {
+        // The reply to an order from before a restart may come from the former incarnation.
+        if (worker == null || !acknowledged || sentMillis < worker.restartKnownMillis()) {
+            return;
+        }
+        Task task = worker.task(order.task());
+        if (task == null || task.mRun != order.run()) {
             return;
         }
         if (task.isStopOrdered() && task.mStopAckMillis == 0) {
@@ -138,9 +148,7 @@
         Map<TaskKey, RunReport.Running> running = new HashMap<>();
         report.running().forEach(run -> running.put(run.task(), run));
         if (worker.isNewIncarnation(report.incarnationMillis())) {
-            // A start that was on its way during the restart may have reached the new incarnation.
-            mLostRuns.handleReportedIncarnation(
-                    worker, report.incarnationMillis(), task -> isListed(task, running), nowMillis);
+            mLostRuns.handleReportedIncarnation(worker, report.incarnationMillis(), nowMillis);
         }
         if (report.incarnationMillis() != worker.mIncarnationMillis) {
             return worker.mProcessedSequence;
@@ -163,19 +171,12 @@
             worker.mExcludedUntilMillis =
                     Math.max(worker.mExcludedUntilMillis, nowMillis + REJECTION_PAUSE_MILLIS);
         }
-        for (Task task : worker.tasks()) {
-            if (!running.containsKey(task.mKey)) {
-                mLostRuns.handleUnreported(task, report, sentMillis, nowMillis);
-            }
-        }
+        List<Task> unreported =
+                worker.tasks().stream().filter(it -> !running.containsKey(it.mKey)).toList();
+        mLostRuns.handleUnreported(worker, unreported, report, sentMillis, nowMillis);
         return worker.mProcessedSequence;
     }
 
-    private static boolean isListed(Task task, Map<TaskKey, RunReport.Running> running) {
-        RunReport.Running run = running.get(task.mKey);
-        return run != null && run.run() == task.mRun;
-    }
-
     /** Updates the task of a reported run. Returns false if the run has no allocation here. */
     private boolean handleReportedRun(
             PoolWorker worker, RunReport.Running run, long workerMillis, long nowMillis) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -9,6 +9,8 @@
 final class Task {
     private static final int UNKNOWN_PERCENT = -1;
     static final int COMPLETE_PERCENT = 100;
+    private static final long NO_ANSWER = -1;
+    private static final long NEVER_LISTED = -1;
 
     /** Shortest time between two reports of a run from which its duration is extrapolated. */
     private static final long MIN_OBSERVED_MILLIS = 150;
@@ -56,6 +58,14 @@
     /** Whether the start of the current run may have reached its worker. */
     private boolean mStartSent;
 
+    private long mStartSentMillis;
+
+    /** Time of the answer to the start of the current run; -1 if there is none yet. */
+    private long mStartAnswerMillis = NO_ANSWER;
+
+    /** Whether an attempt to deliver the start of the current run was not answered. */
+    private boolean mAttemptUnanswered;
+
     /** Whether the current run has lasted for the duration of a trial. */
     private boolean mTrialPassed;
 
@@ -63,7 +73,7 @@
     @Nullable RunObservation mObservation;
 
     /** Worker's clock at the first report that listed the current run; -1 before. */
-    private long mFirstListedMillis = -1;
+    private long mFirstListedMillis = NEVER_LISTED;
 
     Task(Step step, int index) {
         mStep = step;
@@ -153,17 +163,19 @@
         mRun = run;
         mWorker = worker;
         mStartSent = false;
+        mStartAnswerMillis = NO_ANSWER;
+        mAttemptUnanswered = false;
         mInherited = false;
         mTrialPassed = false;
         mObservation = null;
-        mFirstListedMillis = -1;
+        mFirstListedMillis = NEVER_LISTED;
         setPhase(Phase.PLACED, nowMillis);
     }
 
     /** Takes over a run that a previous owner may have started. */
     void inheritRun(PoolWorker worker, long nowMillis) {
         beginRun(mRun, worker, nowMillis);
-        mStartSent = true;
+        markStartSent(nowMillis);
         mInherited = true;
         setPhase(Phase.INHERITED, nowMillis);
     }
@@ -173,8 +185,57 @@
         return mInherited && mPhase == Phase.DONE && mWorker != null && !isStopOrdered();
     }
 
-    void markStartSent() {
+    void markStartSent(long nowMillis) {
         mStartSent = true;
+        mStartSentMillis = nowMillis;
+    }
+
+    /** Records that the worker has answered the start of the current run. */
+    void recordStartAnswer(long nowMillis) {
+        mStartAnswerMillis = nowMillis;
+    }
+
+    /**
+     * Records that an attempt to deliver the start of the current run was not answered, so that the
+     * worker may carry it out at any time.
+     */
+    void markAttemptUnanswered() {
+        mAttemptUnanswered = true;
+    }
+
+    /** Returns whether the start of the current run may have reached its worker. */
+    boolean isStartSent() {
+        return mStartSent;
+    }
+
+    /**
+     * Returns whether an order of this owner to start the current run may still be carried out. A
+     * former owner's orders cannot once the worker has sent this owner a report.
+     */
+    boolean mayStartLate() {
+        return mStartSent && !mInherited && (mStartAnswerMillis < 0 || mAttemptUnanswered);
+    }
+
+    /**
+     * Returns whether the current run may have started since a time, so that a report requested
+     * then need not list it.
+     */
+    boolean mayHaveStartedSince(long millis) {
+        return mStartSent && (mStartSentMillis >= millis || mStartAnswerMillis >= millis);
+    }
+
+    /**
+     * Returns whether the current run may be active, or become so, in the next incarnation of its
+     * worker. It is not if the present incarnation has it and no order to start it is on its way.
+     */
+    boolean mayReachNextIncarnation() {
+        return mStartSent && (mInherited || !wasListed() || mayStartLate());
+    }
+
+    /** Discards what the former incarnation of the worker has said about the current run. */
+    void resetForIncarnation() {
+        mFirstListedMillis = NEVER_LISTED;
+        mStopAckMillis = 0;
     }
 
     /** Returns whether the worker may have begun the current run. */
@@ -200,7 +261,7 @@
 
     /** Returns whether a report has listed the current run. */
     boolean wasListed() {
-        return mFirstListedMillis >= 0;
+        return mFirstListedMillis != NEVER_LISTED;
     }
 
     /** Returns whether the current run has lasted for the duration of a trial. */
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/RecoveryTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/RecoveryTest.java
@@ -166,7 +166,7 @@
         assertEquals(List.of(), scheduler.output().takeStarts());
         scheduler.tick(20_700, 20_700);
         TaskStop repeated = scheduler.output().takeStops().get(0);
-        scheduler.handleStopReply(repeated, true, 20_705);
+        scheduler.handleStopReply(repeated, true, 20_700, 20_705);
         scheduler.handleReport(worker, report(1, List.of()), 20_710, 20_715);
         scheduler.place(20_715);
         assertEquals(1, scheduler.output().takeStarts().size(), "the run cannot start any more");
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -394,7 +394,8 @@
         if (worker != null && reachable) {
             worker.stop(stop);
         }
-        at(CALL_MILLIS, () -> scheduler.handleStopReply(stop, reachable, mNowMillis));
+        long sentMillis = mNowMillis - CALL_MILLIS;
+        at(CALL_MILLIS, () -> scheduler.handleStopReply(stop, reachable, sentMillis, mNowMillis));
     }
 
     private void approve(PoolScheduler scheduler, ApprovalRequest request, long sentMillis) {
