Ask a restarted worker for its report at once

A call that waits at a worker's former incarnation ended only by its timeout, up to 1.9 s later, and no other was opened until then. Now that the first report of the next incarnation decides which runs are lost, they would wait as long.

The poller opens a call as soon as the list names another incarnation than the one that was called; the former call's result has no effect, unless it says that another owner has fenced this one.

Both new tests of WorkerPollerTest failed before.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
@@ -14,6 +14,7 @@
 import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.transport.TaskRunner;
 import org.hyssoprouter.util.MonotonicClock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Keeps one call open to each worker, which renews the worker's lease and returns when a run has
@@ -58,9 +59,25 @@
         void onOwnershipLost(String reason);
     }
 
+    /** Call to an incarnation of a worker that has not ended yet. */
+    private static final class OpenCall {
+        final WorkerEntry mWorker;
+        final long mSentMillis;
+
+        OpenCall(WorkerEntry worker, long sentMillis) {
+            mWorker = worker;
+            mSentMillis = sentMillis;
+        }
+
+        /** Returns whether an entry names a later incarnation than the one that was called. */
+        boolean isObsolete(WorkerEntry worker) {
+            return worker.incarnationMillis() != mWorker.incarnationMillis();
+        }
+    }
+
     /** State of the calls to one worker. */
     private static final class PollState {
-        boolean mCallOpen;
+        @Nullable OpenCall mCall;
         boolean mAwaitingCommit;
         boolean mUnresponsive;
         long mNextCallMillis;
@@ -96,7 +113,10 @@
         mStarted = false;
     }
 
-    /** Opens a call to each due worker that has none open. */
+    /**
+     * Opens a call to each due worker that has none open, and to each worker that has restarted
+     * since.
+     */
     void pollDueWorkers() {
         if (!mStarted) {
             return;
@@ -104,7 +124,8 @@
         long nowMillis = mClock.millis();
         for (WorkerEntry worker : mScheduler.workersToPoll()) {
             PollState poll = mPolls.computeIfAbsent(worker.id(), id -> new PollState());
-            if (!poll.mCallOpen && poll.mNextCallMillis <= nowMillis) {
+            OpenCall call = poll.mCall;
+            if (call == null ? poll.mNextCallMillis <= nowMillis : call.isObsolete(worker)) {
                 renewLease(worker, poll);
             }
         }
@@ -128,8 +149,9 @@
     }
 
     private void renewLease(WorkerEntry worker, PollState poll) {
-        poll.mCallOpen = true;
         long sentMillis = mClock.millis();
+        OpenCall call = new OpenCall(worker, sentMillis);
+        poll.mCall = call;
         boolean committedRecently = mCommitter.lastCommitAgeMillis() < mLimits.confirmMillis();
         // A renewal may be granted late, so renewals sent to an unresponsive worker could keep its
         // lease from ever expiring.
@@ -151,11 +173,7 @@
                                 "renewal",
                                 WorkerPoller::brokenCall)
                         .thenAccept(
-                                result ->
-                                        mThread.execute(
-                                                () ->
-                                                        handleResult(
-                                                                worker, poll, result, sentMillis)));
+                                result -> mThread.execute(() -> handleResult(call, poll, result)));
     }
 
     private long waitMillis(WorkerEntry worker) {
@@ -169,15 +187,21 @@
         return Either.left(CallError.mayHaveRun(CallError.Kind.BROKEN, reason));
     }
 
-    private void handleResult(
-            WorkerEntry worker,
-            PollState poll,
-            Either<CallError, RunReport> result,
-            long sentMillis) {
+    private void handleResult(OpenCall call, PollState poll, Either<CallError, RunReport> result) {
         if (!mStarted) {
             return;
         }
-        poll.mCallOpen = false;
+        WorkerEntry worker = call.mWorker;
+        if (result.isLeft() && result.getLeft().kind() == CallError.Kind.REFUSED) {
+            mListener.onOwnershipLost(
+                    "worker " + worker.id() + " rejected a renewal: " + result.getLeft().message());
+            return;
+        }
+        if (!call.equals(poll.mCall)) {
+            // A later call asks the present incarnation.
+            return;
+        }
+        poll.mCall = null;
         long nowMillis = mClock.millis();
         if (result.isLeft()) {
             handleFailure(worker, poll, result.getLeft());
@@ -187,7 +211,7 @@
             poll.mUnresponsive = false;
             LOG.log(LogEvent.WORKER_RECOVERED, worker.id());
         }
-        mScheduler.handleReport(worker.id(), result.get(), sentMillis, nowMillis);
+        mScheduler.handleReport(worker.id(), result.get(), call.mSentMillis, nowMillis);
         if (!areEndsDurable(worker.id())) {
             poll.mAwaitingCommit = true;
             poll.mNextCallMillis = nowMillis + MAX_COMMIT_WAIT_MILLIS;
@@ -197,11 +221,6 @@
     }
 
     private void handleFailure(WorkerEntry worker, PollState poll, CallError error) {
-        if (error.kind() == CallError.Kind.REFUSED) {
-            mListener.onOwnershipLost(
-                    "worker " + worker.id() + " rejected a renewal: " + error.message());
-            return;
-        }
         if (error.kind() == CallError.Kind.GONE) {
             mScheduler.handleWorkerLeft(worker, error.message(), mClock.millis());
             mListener.onReportHandled();
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
@@ -26,6 +26,11 @@
 
     private long mNowMillis = 1_000;
     private boolean mUnresponsive;
+
+    /** Whether calls stay open; the last one is {@link #mOpenCall}. */
+    private boolean mSilent;
+
+    private CompletableFuture<Either<CallError, RunReport>> mOpenCall = new CompletableFuture<>();
     private final List<TaskRunner.Renewal> mRenewals = new ArrayList<>();
     private final PoolScheduler mScheduler = new PoolScheduler(LIMITS, 0);
     private final OwnerCommitter mCommitter =
@@ -83,6 +88,61 @@
         assertEquals(0, last().waitMillis());
     }
 
+    // Guards against runs whose loss is noticed only when a call to a former incarnation times out.
+    @Test
+    void restartedWorkerIsAskedToReportAtOnce() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        list(1);
+        mPoller.start();
+        mSilent = true;
+        advance(10);
+        int renewalCount = mRenewals.size();
+        advance(10);
+        assertEquals(renewalCount, mRenewals.size(), "a call is open");
+        list(2);
+        advance(10);
+        assertEquals(renewalCount + 1, mRenewals.size());
+        assertEquals(0, last().waitMillis());
+        advance(10);
+        assertEquals(renewalCount + 1, mRenewals.size());
+    }
+
+    // Guards against a worker that counts as silent because its former incarnation is.
+    @Test
+    void callToFormerIncarnationHasNoEffectWhenItFails() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        list(1);
+        mPoller.start();
+        mSilent = true;
+        advance(10);
+        CompletableFuture<Either<CallError, RunReport>> former = mOpenCall;
+        list(2);
+        advance(10);
+        former.complete(Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "timeout")));
+        int renewalCount = mRenewals.size();
+        mOpenCall.complete(Either.right(new RunReport(mNowMillis, 2, List.of(), List.of())));
+        advance(10);
+        assertEquals(renewalCount + 1, mRenewals.size(), "the next call is not delayed");
+        assertTrue(last().deadlineMillis() > 0, "the worker counts as responsive");
+    }
+
+    private void list(long incarnation) {
+        mScheduler.updateWorker(
+                new WorkerEntry(
+                        "w",
+                        "pool",
+                        "w:1",
+                        "d",
+                        "r",
+                        List.of(),
+                        Room.NONE,
+                        false,
+                        0,
+                        0,
+                        incarnation),
+                mNowMillis);
+    }
+
     private TaskRunner.Renewal last() {
         return mRenewals.get(mRenewals.size() - 1);
     }
@@ -110,6 +170,10 @@
         public CompletableFuture<Either<CallError, RunReport>> renew(
                 String workerId, String address, Renewal renewal) {
             mRenewals.add(renewal);
+            if (mSilent) {
+                mOpenCall = new CompletableFuture<>();
+                return mOpenCall;
+            }
             if (mUnresponsive) {
                 return CompletableFuture.completedFuture(
                         Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "timeout")));
