--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpCaller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpCaller.java
@@ -82,6 +82,19 @@
         mConnector.closeUnused();
     }
 
+    /**
+     * Closes the idle connections to one address, so that the next call to it opens a new one. Does
+     * nothing if the address is invalid.
+     */
+    public void evictIdleConnections(String address) {
+        try {
+            mConnector.closeUnused(HttpHost.create(address));
+        } catch (URISyntaxException e) {
+            // No connection can have been opened to such an address.
+            return;
+        }
+    }
+
     /**
      * Makes a call and blocks until it ends. Must not be called where a result is completed.
      *
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpConnector.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/HttpConnector.java
@@ -12,6 +12,7 @@
 import org.apache.hc.core5.http.protocol.HttpProcessorBuilder;
 import org.apache.hc.core5.http.protocol.RequestContent;
 import org.apache.hc.core5.http.protocol.RequestTargetHost;
+import org.apache.hc.core5.io.CloseMode;
 import org.apache.hc.core5.pool.LaxConnPool;
 import org.apache.hc.core5.pool.PoolEntry;
 import org.apache.hc.core5.pool.PoolReusePolicy;
@@ -34,8 +35,11 @@
     /** Each connection has buffers of this size for its input and output. */
     private static final int BUFFER_BYTES = 4_096;
 
-    private HttpConnector(LaxConnPool<HttpHost, IOSession> pool) {
+    private final Pool mPool;
+
+    private HttpConnector(Pool pool) {
         super(reactorConfig(), eventHandlers(), null, null, null, pool);
+        mPool = pool;
     }
 
     static HttpConnector create(int maxConnectionsPerAddress) {
@@ -66,6 +70,16 @@
         closeIdle(TimeValue.ZERO_MILLISECONDS);
     }
 
+    /** Closes all connections to an address that are not in use. */
+    void closeUnused(HttpHost host) {
+        mPool.enumAvailable(
+                entry -> {
+                    if (entry.getRoute().equals(host)) {
+                        entry.discardConnection(CloseMode.GRACEFUL);
+                    }
+                });
+    }
+
     @Override
     public Future<IOSession> requestSession(
             HttpHost host, Timeout timeout, Object attachment, FutureCallback<IOSession> callback) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
@@ -59,25 +59,26 @@
         void onOwnershipLost(String reason);
     }
 
-    /** Call to an incarnation of a worker that has not ended yet. */
-    private static final class OpenCall {
+    /** Call to a worker. */
+    private static final class Call {
         final WorkerEntry mWorker;
+
+        /** Incarnation that was known when the call was sent; 0 if none was. */
+        final long mIncarnationMillis;
+
         final long mSentMillis;
 
-        OpenCall(WorkerEntry worker, long sentMillis) {
+        Call(WorkerEntry worker, long incarnationMillis, long sentMillis) {
             mWorker = worker;
+            mIncarnationMillis = incarnationMillis;
             mSentMillis = sentMillis;
         }
-
-        /** Returns whether an entry names a later incarnation than the one that was called. */
-        boolean isObsolete(WorkerEntry worker) {
-            return worker.incarnationMillis() != mWorker.incarnationMillis();
-        }
     }
 
     /** State of the calls to one worker. */
     private static final class PollState {
-        @Nullable OpenCall mCall;
+        @Nullable Call mLastCall;
+        boolean mCallOpen;
         boolean mAwaitingCommit;
         boolean mUnresponsive;
         long mNextCallMillis;
@@ -124,13 +125,27 @@
         long nowMillis = mClock.millis();
         for (WorkerEntry worker : mScheduler.workersToPoll()) {
             PollState poll = mPolls.computeIfAbsent(worker.id(), id -> new PollState());
-            OpenCall call = poll.mCall;
-            if (call == null ? poll.mNextCallMillis <= nowMillis : call.isObsolete(worker)) {
+            boolean due = !poll.mCallOpen && poll.mNextCallMillis <= nowMillis;
+            boolean restarted = hasRestartedSince(poll.mLastCall);
+            if (restarted) {
+                mRunner.closeIdleConnections(worker.address());
+            }
+            if (due || restarted) {
                 renewLease(worker, poll);
             }
         }
     }
 
+    private boolean hasRestartedSince(@Nullable Call call) {
+        return call != null
+                && call.mIncarnationMillis != 0
+                && call.mIncarnationMillis != incarnationMillis(call.mWorker);
+    }
+
+    private long incarnationMillis(WorkerEntry worker) {
+        return mScheduler.processedEnds(worker.id()).incarnationMillis();
+    }
+
     /** Polls the workers whose run ends have become durable. */
     void onEndsDurable() {
         for (Map.Entry<String, PollState> entry : mPolls.entrySet()) {
@@ -150,8 +165,9 @@
 
     private void renewLease(WorkerEntry worker, PollState poll) {
         long sentMillis = mClock.millis();
-        OpenCall call = new OpenCall(worker, sentMillis);
-        poll.mCall = call;
+        Call call = new Call(worker, incarnationMillis(worker), sentMillis);
+        poll.mLastCall = call;
+        poll.mCallOpen = true;
         boolean committedRecently = mCommitter.lastCommitAgeMillis() < mLimits.confirmMillis();
         // A renewal may be granted late, so renewals sent to an unresponsive worker could keep its
         // lease from ever expiring.
@@ -187,7 +203,7 @@
         return Either.left(CallError.mayHaveRun(CallError.Kind.BROKEN, reason));
     }
 
-    private void handleResult(OpenCall call, PollState poll, Either<CallError, RunReport> result) {
+    private void handleResult(Call call, PollState poll, Either<CallError, RunReport> result) {
         if (!mStarted) {
             return;
         }
@@ -197,11 +213,11 @@
                     "worker " + worker.id() + " rejected a renewal: " + result.getLeft().message());
             return;
         }
-        if (!call.equals(poll.mCall)) {
+        if (!call.equals(poll.mLastCall)) {
             // A later call asks the present incarnation.
             return;
         }
-        poll.mCall = null;
+        poll.mCallOpen = false;
         long nowMillis = mClock.millis();
         if (result.isLeft()) {
             handleFailure(worker, poll, result.getLeft());
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/adapter/HttpCallerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/adapter/HttpCallerTest.java
@@ -207,6 +207,26 @@
         }
     }
 
+    @Test
+    void evictionForAnAddressLeavesOtherConnections() throws IOException, InterruptedException {
+        try (MockWebServer evicted = new MockWebServer();
+                MockWebServer other = new MockWebServer()) {
+            for (MockWebServer server : List.of(evicted, other)) {
+                server.start();
+                server.enqueue(new MockResponse.Builder().body("a").build());
+                server.enqueue(new MockResponse.Builder().body("b").build());
+                assertTrue(send(server.getPort(), 60_000).isRight());
+            }
+            mCaller.evictIdleConnections("127.0.0.1:" + evicted.getPort());
+            assertTrue(send(evicted.getPort(), 60_000).isRight());
+            assertTrue(send(other.getPort(), 60_000).isRight());
+            evicted.takeRequest();
+            other.takeRequest();
+            assertEquals(1, evicted.takeRequest().getConnectionIndex());
+            assertEquals(0, other.takeRequest().getConnectionIndex());
+        }
+    }
+
     // A request that is sent a second time could run twice.
     @Test
     void lostCallIsNotRepeatedAndRedirectNotFollowed() throws IOException {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
@@ -31,6 +31,7 @@
     private boolean mSilent;
 
     private CompletableFuture<Either<CallError, RunReport>> mOpenCall = new CompletableFuture<>();
+    private final List<String> mClosedAddresses = new ArrayList<>();
     private final List<TaskRunner.Renewal> mRenewals = new ArrayList<>();
     private final PoolScheduler mScheduler = new PoolScheduler(LIMITS, 0);
     private final OwnerCommitter mCommitter =
@@ -126,6 +127,21 @@
         assertTrue(last().deadlineMillis() > 0, "the worker counts as responsive");
     }
 
+    // Guards against a restarted worker that is asked on connections to its former incarnation.
+    @Test
+    void idleConnectionsToRestartedWorkerAreClosedOnce() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        list(1);
+        mPoller.start();
+        mSilent = true;
+        advance(10);
+        assertEquals(List.of(), mClosedAddresses);
+        list(2);
+        advance(10);
+        advance(10);
+        assertEquals(List.of("w:1"), mClosedAddresses);
+    }
+
     private void list(long incarnation) {
         mScheduler.updateWorker(
                 new WorkerEntry(
@@ -187,6 +203,11 @@
                     Either.right(new RunReport(mNowMillis, 1, List.of(), List.of())));
         }
 
+        @Override
+        public void closeIdleConnections(String address) {
+            mClosedAddresses.add(address);
+        }
+
         @Override
         public CompletableFuture<Boolean> setSpeed(TaskStop run, int percent, long token) {
             return new CompletableFuture<>();
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/TaskRunner.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/transport/TaskRunner.java
@@ -38,6 +38,15 @@
     CompletableFuture<Either<CallError, RunReport>> renew(
             String workerId, String address, Renewal renewal);
 
+    /**
+     * Closes the idle connections to a worker that has restarted. Its new incarnation may leave
+     * them without an answer.
+     *
+     * @param address {@code ip:port} of the worker
+     * @since 0.3
+     */
+    default void closeIdleConnections(String address) {}
+
     /**
      * Limits the speed of a run.
      *
