Keep runs that a truncated list of ends may hold

Cause: a worker lists 500 ended runs at a time. A run that its report listed neither as active nor as ended was taken for gone and its task placed again, also where the list was cut and the rest of the ends came with the next reports. The running owner had the same fault, for runs that it had seen accepted, for stopped ones, and for the first report after a restart.

Nothing is concluded from what such a report lacks; the ends in it are processed and acknowledged, and the next report lists more, until one is complete.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
@@ -119,7 +119,10 @@
             RunReport report,
             long sentMillis,
             long nowMillis) {
-        if (worker.mAwaitsFirstReport) {
+        if (report.truncated()) {
+            // Each of them may have ended, too.
+            logTruncated(worker, tasks, report);
+        } else if (worker.mAwaitsFirstReport) {
             worker.mAwaitsFirstReport = false;
             List<Task> lost =
                     tasks.stream().filter(it -> !it.mayHaveStartedSince(sentMillis)).toList();
@@ -160,6 +163,14 @@
         }
     }
 
+    private void logTruncated(PoolWorker worker, List<Task> tasks, RunReport report) {
+        mState.mOutput.recordDecision(
+                worker.mId,
+                "report truncated",
+                "%d runs and %d ends listed, %d runs not yet"
+                        .formatted(report.running().size(), report.ended().size(), tasks.size()));
+    }
+
     private void logMissing(Task task, RunReport report, long nowMillis) {
         mState.mOutput.recordDecision(
                 task.mKey,
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/workflow/RunReport.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/lib/workflow/RunReport.java
@@ -10,10 +10,22 @@
  *     milliseconds since 1970; 0 if unknown
  * @param running runs that occupy resources
  * @param ended ended runs that the owner has not acknowledged yet, by sequence
+ * @param truncated whether further runs may have ended; the worker lists them once some of these
+ *     are acknowledged
  * @since 0.2
  */
 public record RunReport(
-        long clockMillis, long incarnationMillis, List<Running> running, List<Ended> ended) {
+        long clockMillis,
+        long incarnationMillis,
+        List<Running> running,
+        List<Ended> ended,
+        boolean truncated) {
+    /** Creates a report that lists all ended runs. */
+    public RunReport(
+            long clockMillis, long incarnationMillis, List<Running> running, List<Ended> ended) {
+        this(clockMillis, incarnationMillis, running, ended, false);
+    }
+
     /**
      * An active run.
      *
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/RecoveryTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/RecoveryTest.java
@@ -4,11 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vavr.control.Option;
 import java.util.List;
-import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.EndKind;
-import org.hyssoprouter.lib.workflow.PoolConfig;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.StartOutcome;
@@ -17,7 +14,6 @@
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.TaskStop;
-import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.junit.jupiter.api.Test;
@@ -80,13 +76,13 @@
 
     @Test
     void failureOfOneGangRunCountsOnceAcrossOwners() {
-        PoolScheduler former = newOwner(0);
+        PoolScheduler former = TestPools.newScheduler("w0", "w1");
         former.addWorkflow(gang(), 100);
         former.place(100);
         List<TaskStart> starts = former.output().takeStarts();
         starts.forEach(it -> former.handleStartOutcome(it, StartOutcome.ACCEPTED, 200));
         former.handleReport(starts.get(0).workerId(), failure(starts.get(0)), 300, 300);
-        PoolScheduler next = newOwner(400);
+        PoolScheduler next = TestPools.newOwner(400, "w0", "w1");
         next.restoreWorkflow(gang(), former.row(GANG).get(), 400, 400);
         next.handleReport(starts.get(1).workerId(), failure(starts.get(1)), 500, 500);
         assertNotEquals(WorkflowState.FAILED, next.row(GANG).get().state());
@@ -94,14 +90,14 @@
 
     @Test
     void workerIsUsedWhenFormerIncarnationIsListedLate() {
-        PoolScheduler scheduler = newOwner(0);
+        PoolScheduler scheduler = TestPools.newScheduler("w0", "w1");
         for (long incarnation = 2; incarnation <= 4; incarnation++) {
             scheduler.handleReport("w0", report(incarnation, List.of()), 100, 100);
         }
-        scheduler.updateWorker(worker("w0", 1), 200);
+        scheduler.updateWorker(TestPools.worker("w0", 1), 200);
         scheduler.handleReport("w0", report(4, List.of()), 300, 300);
         assertEquals(4, scheduler.processedEnds("w0").incarnationMillis());
-        scheduler.updateWorker(worker("w0", 4), 300);
+        scheduler.updateWorker(TestPools.worker("w0", 4), 300);
         scheduler.addWorkflow(
                 workflow("a", "batch", PoolSchedulerTest.step(1, 4_000, 500, false)), 300);
         scheduler.place(300);
@@ -114,14 +110,14 @@
     // former incarnation says.
     @Test
     void restartedWorkerIsNotUsedWithCapacityOfFormerIncarnation() {
-        PoolScheduler scheduler = newOwner(0);
+        PoolScheduler scheduler = TestPools.newScheduler("w0", "w1");
         scheduler.markUnlisted("w1");
         scheduler.handleReport("w0", report(2, List.of()), 100, 100);
         scheduler.addWorkflow(
                 workflow("a", "batch", PoolSchedulerTest.step(2, 2_000, 500, false)), 100);
         scheduler.place(100);
         assertEquals(List.of(), scheduler.output().takeStarts());
-        scheduler.updateWorker(worker("w0", 2, 2_000), 200);
+        scheduler.updateWorker(TestPools.worker("w0", 2, 2_000), 200);
         scheduler.place(200);
         assertEquals(1, scheduler.output().takeStarts().size());
     }
@@ -129,7 +125,7 @@
     // Guards against a second run of a task whose start reached its worker after a restart.
     @Test
     void runThatRestartedWorkerReportsIsKept() {
-        PoolScheduler scheduler = newOwner(0);
+        PoolScheduler scheduler = TestPools.newScheduler("w0", "w1");
         scheduler.addWorkflow(
                 workflow("a", "batch", PoolSchedulerTest.step(1, 4_000, 500, false)), 100);
         scheduler.place(100);
@@ -146,7 +142,7 @@
     // still be on its way when an older report arrives.
     @Test
     void roomIsKeptUntilReportAfterTheStopOfSupersededRun() {
-        PoolScheduler scheduler = newOwner(0);
+        PoolScheduler scheduler = TestPools.newScheduler("w0", "w1");
         String worker = supersedeRun(scheduler);
         scheduler.handleReport(worker, report(1, List.of()), 20_001, 20_015);
         scheduler.place(20_015);
@@ -157,7 +153,7 @@
     // is answered, the start may still take effect.
     @Test
     void roomIsKeptUntilStopOfSupersededRunIsAcknowledged() {
-        PoolScheduler scheduler = newOwner(0);
+        PoolScheduler scheduler = TestPools.newScheduler("w0", "w1");
         String worker = supersedeRun(scheduler);
         scheduler.grantLease(worker, 20_010);
         assertEquals(1, scheduler.output().takeStops().size());
@@ -206,7 +202,7 @@
     // unanswered keeps its room beyond the pause that follows the report.
     @Test
     void workerWithUnknownRunIsNotUsedUntilReportWithoutIt() {
-        PoolScheduler scheduler = newOwner(0);
+        PoolScheduler scheduler = TestPools.newScheduler("w0", "w1");
         TaskKey unknown = new TaskKey(new StepKey("unknown", 0, 0), 0);
         RunReport.Running run = new RunReport.Running(unknown, 1, "", 10, 0);
         scheduler.handleReport("w0", new RunReport(100, 1, List.of(run), List.of()), 100, 100);
@@ -226,48 +222,6 @@
         return workflow(GANG, "batch", PoolSchedulerTest.step(2, 4_000, 500, true));
     }
 
-    /** Returns a scheduler with two workers that have reported. */
-    private static PoolScheduler newOwner(long nowMillis) {
-        PoolScheduler scheduler = new PoolScheduler(SimulatedPool.LIMITS, nowMillis);
-        QueuePolicy queue =
-                new QueuePolicy(
-                        "batch",
-                        "host",
-                        "/batch/",
-                        SimulatedPool.POOL,
-                        0,
-                        2,
-                        new QueuePolicy.Objective(2, 1_000),
-                        Option.none());
-        scheduler.configure(new PoolConfig(1, List.of(queue), List.of(SimulatedPool.POOL)));
-        for (String id : List.of("w0", "w1")) {
-            scheduler.updateWorker(worker(id, 1), nowMillis);
-            if (nowMillis == 0) {
-                scheduler.handleReport(id, report(1, List.of()), 0, 0);
-            }
-        }
-        return scheduler;
-    }
-
-    private static WorkerEntry worker(String id, long incarnation) {
-        return worker(id, incarnation, 4_000);
-    }
-
-    private static WorkerEntry worker(String id, long incarnation, long cpuMillis) {
-        return new WorkerEntry(
-                id,
-                SimulatedPool.POOL,
-                id + ":1",
-                "domain",
-                "r1",
-                List.of("a", "r1"),
-                new Room(cpuMillis, 1L << 40, 0),
-                false,
-                0,
-                0,
-                incarnation);
-    }
-
     private static RunReport failure(TaskStart start) {
         return report(
                 1, List.of(new RunReport.Ended(1, start.task(), start.run(), EndKind.FAILED, "")));
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkerRestartTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkerRestartTest.java
@@ -4,17 +4,12 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.vavr.control.Option;
 import java.util.List;
-import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.EndKind;
-import org.hyssoprouter.lib.workflow.PoolConfig;
-import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.StartOutcome;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.TaskStop;
-import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.junit.jupiter.api.Test;
@@ -22,9 +17,8 @@
 /** A worker restarts under its identifier, and a start may have reached its new incarnation. */
 class WorkerRestartTest {
     private static final String WORKFLOW = "a";
-    private static final String QUEUE = "batch";
 
-    private PoolScheduler mScheduler = newOwner(0);
+    private PoolScheduler mScheduler = TestPools.newScheduler("w0", "w1");
 
     // Guards against a second run of a task that the new incarnation has accepted.
     @Test
@@ -119,7 +113,7 @@
     void inheritedRunIsKeptUntilTheFirstReportOfTheNewIncarnation() {
         TaskStart start = sendStart();
         WorkflowRow row = mScheduler.row(WORKFLOW).get();
-        mScheduler = newOwner(1_000);
+        mScheduler = TestPools.newOwner(1_000, "w0", "w1");
         mScheduler.restoreWorkflow(workflow(), row, 0, 1_000);
         restart(start, 1_010);
         reportOther(start, 1_010);
@@ -133,7 +127,7 @@
     void inheritedRunThatNewIncarnationDoesNotReportIsPlacedAgain() {
         TaskStart start = sendStart();
         WorkflowRow row = mScheduler.row(WORKFLOW).get();
-        mScheduler = newOwner(1_000);
+        mScheduler = TestPools.newOwner(1_000, "w0", "w1");
         mScheduler.restoreWorkflow(workflow(), row, 0, 1_000);
         restart(start, 1_010);
         report(start, 2, List.of(), 1_011, 1_015);
@@ -260,7 +254,7 @@
     }
 
     private void restart(TaskStart start, long nowMillis) {
-        mScheduler.updateWorker(entry(start.workerId(), 2), nowMillis);
+        mScheduler.updateWorker(TestPools.worker(start.workerId(), 2), nowMillis);
     }
 
     private static List<RunReport.Running> running(TaskStart start) {
@@ -291,45 +285,6 @@
 
     private static WorkflowSpec workflow() {
         return PoolSchedulerTest.workflow(
-                WORKFLOW, QUEUE, PoolSchedulerTest.step(1, 4_000, 500, false));
-    }
-
-    /** Returns a scheduler with two workers that have reported. */
-    private static PoolScheduler newOwner(long nowMillis) {
-        PoolScheduler scheduler = new PoolScheduler(SimulatedPool.LIMITS, nowMillis);
-        QueuePolicy queue =
-                new QueuePolicy(
-                        QUEUE,
-                        "host",
-                        "/batch/",
-                        SimulatedPool.POOL,
-                        0,
-                        2,
-                        new QueuePolicy.Objective(2, 1_000),
-                        Option.none());
-        scheduler.configure(new PoolConfig(1, List.of(queue), List.of(SimulatedPool.POOL)));
-        for (String id : List.of("w0", "w1")) {
-            scheduler.updateWorker(entry(id, 1), nowMillis);
-            if (nowMillis == 0) {
-                scheduler.handleReport(
-                        id, new RunReport(0, 1, List.of(), List.of()), nowMillis, nowMillis);
-            }
-        }
-        return scheduler;
-    }
-
-    private static WorkerEntry entry(String id, long incarnation) {
-        return new WorkerEntry(
-                id,
-                SimulatedPool.POOL,
-                id + ":1",
-                "domain",
-                "r1",
-                List.of("a", "r1"),
-                new Room(4_000, 1L << 40, 0),
-                false,
-                0,
-                0,
-                incarnation);
+                WORKFLOW, TestPools.QUEUE, PoolSchedulerTest.step(1, 4_000, 500, false));
     }
 }
