Ignore worker entries with amounts out of range

A report from other operators: an odd entry in the list of executors, very deeply nested, with a number too large or with a port out of range, ended the machines that read the list, or they stopped following it.

Tried here: entries nested 4,000 and 20,000 deep, numbers of 400, 2,000 and 5,000 digits, 1e400, ports out of range, and 2,000 combinations of odd fields (WorkerRowDecoderTest), and six such entries in the list of two daemons with a job that waits for a later change of the list (PlatformDaemonTest). Neither an end nor a reader that starts over could be shown on the former code: it ran the job, and its decoder threw nothing. The parser bounds nesting and digits, and the port was checked.

What did happen: a number that the parser bears, such as 1e400 or -1, made an entry name a worker with all room there is, or less than none, whose sums wrap around; and an address with a host name was accepted, which a call looks up on the calling thread. Such entries name no worker now, and E5113 names the key of each entry that is ignored. Two of the six tests and the property failed before.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/JsonHttp.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/adapter/JsonHttp.java
@@ -10,6 +10,7 @@
 import org.apache.hc.core5.http.HttpHeaders;
 import org.apache.hc.core5.http.HttpHost;
 import org.apache.hc.core5.http.message.BasicHeader;
+import org.apache.hc.core5.net.InetAddressUtils;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.lib.Verdict;
 import org.hyssoprouter.util.MessageCodec;
@@ -35,10 +36,17 @@
         return HttpRequest.of("GET", address, path, null);
     }
 
-    /** Returns whether the text is a valid {@code host:port}. */
-    public static boolean isAddress(String text) {
+    /**
+     * Returns whether the text is a valid {@code ip:port}. A call to a host name would block until
+     * the name is resolved.
+     */
+    public static boolean isIpAddress(String text) {
         try {
-            return HttpHost.create(text).getPort() > 0;
+            HttpHost host = HttpHost.create(text);
+            boolean isIp =
+                    InetAddressUtils.isIPv4(host.getHostName())
+                            || InetAddressUtils.isIPv6(host.getHostName());
+            return isIp && host.toHostString().equals(text) && host.getPort() > 0;
         } catch (URISyntaxException | IllegalArgumentException e) {
             return false;
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -106,6 +106,8 @@
     TAKEOVER_REQUEST_LOST(5111, Level.INFO, "takeover request lost", "peer", "reason"),
     /** The host of a silent owner of the pools refuses connections: its process has ended. */
     OWNER_ABSENT(5112, Level.INFO, "pool owner is absent", "owner", "epoch"),
+    /** An entry of the worker list names no worker; it comes from another writer. */
+    WORKER_ENTRY_IGNORED(5113, Level.WARNING, "worker entry ignored", "key", "bytes"),
     /** Preemptions of the past second, and steps for which no task was stopped, by cause. */
     OVERLOAD_HANDLED(5460, Level.INFO, "preemptions", "counts", "lostCoreSeconds"),
     /** The table store does not answer this daemon. */
