Simulate restarts of workers with slow and late orders

RestartSimulationTest: ten workers crash 40 times within 18 s and start again under their identifiers after 0.65 to 1.25 s, listed up to 0.5 s later; a quarter of the orders is slow, a tenth is carried out late by the incarnation that got it, unanswered ones are repeated.

Three errors of the simulation were found on the way and mended: ends that are lost in a crash before they are durable do not count; a gang ends only when all its members are present; a former owner no longer repeats its attempts. Polls and rows moved to classes of their own.

--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -7,14 +7,15 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.PriorityQueue;
+import java.util.Random;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import org.hyssoprouter.lib.workflow.ApprovalRequest;
 import org.hyssoprouter.lib.workflow.ApprovalTickets;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
-import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.StartOutcome;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
@@ -34,23 +35,18 @@
     static final String POOL = "pool";
     static final SchedulerLimits LIMITS = new SchedulerLimits(6_000, 900, 2_500);
 
-    private static final long CALL_MILLIS = 3;
-    private static final long POLL_TIMEOUT_MILLIS = 1_000;
-
-    /** Interval at which a pending poll is checked for ended runs. */
-    private static final long POLL_CHECK_MILLIS = 20;
-
+    static final long CALL_MILLIS = 3;
     private static final long TICK_MILLIS = 50;
 
     /** Interval at which workers write their entries to the list. */
-    private static final long HEARTBEAT_MILLIS = 500;
+    static final int HEARTBEAT_MILLIS = 500;
 
     private final PriorityQueue<Event> mEvents =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
     private final Map<String, SimulatedWorker> mWorkers = new TreeMap<>();
     private final Map<String, WorkflowSpec> mSpecs = new TreeMap<>();
-    private final Map<String, WorkflowRow> mRows = new HashMap<>();
+    private final SimulatedRows mRows = new SimulatedRows();
     private final SimulatedTimes mTimes = new SimulatedTimes();
     private final Set<TaskKey> mDone = new HashSet<>();
     private final List<String> mViolations = new ArrayList<>();
@@ -64,9 +60,11 @@
     private long mEpoch = 1;
     private boolean mOwned = true;
     private int mStartCount;
+    private final SimulatedPolls mPolls = new SimulatedPolls(this);
     private final SimulatedRounds mRounds = new SimulatedRounds();
     private final SimulatedApprovalCalls mApprovalCalls = new SimulatedApprovalCalls();
 
+    private @Nullable SimulatedOrders mOrders;
     private final SimulatedDelays mDelays = new SimulatedDelays();
     private final SimulatedTasks mTasks = new SimulatedTasks();
     private final DeadlyTasks mDeadlyTasks = new DeadlyTasks();
@@ -124,13 +122,22 @@
         SimulatedWorker worker = new SimulatedWorker(this, id, cpuMillis);
         mWorkers.put(id, worker);
         mScheduler.updateWorker(worker.entry(mNowMillis), mNowMillis);
-        poll(mScheduler, worker, mNowMillis);
+        mPolls.poll(mScheduler, worker, mNowMillis);
         return worker;
     }
 
-    /** Lists a restarted worker with its next heartbeat. */
-    void listAfterHeartbeat(SimulatedWorker worker) {
-        at(HEARTBEAT_MILLIS, () -> mScheduler.updateWorker(worker.entry(mNowMillis), mNowMillis));
+    /** Lists a restarted worker after a while. */
+    void listAfter(long millis, SimulatedWorker worker) {
+        at(millis, () -> mScheduler.updateWorker(worker.entry(mNowMillis), mNowMillis));
+    }
+
+    /** Lets starts arrive slowly and be carried out late, at random. */
+    void useSlowOrders(Random random) {
+        mOrders = new SimulatedOrders(this, random);
+    }
+
+    SimulatedWorker worker(String id) {
+        return Objects.requireNonNull(mWorkers.get(id));
     }
 
     /** Lists a worker with another capacity. */
@@ -222,13 +229,12 @@
                         mScheduler.restoreWorkflow(spec, row, acceptedMillis, mNowMillis);
                     }
                 });
-        mWorkers.values().forEach(worker -> poll(mScheduler, worker, mNowMillis));
+        mWorkers.values().forEach(worker -> mPolls.poll(mScheduler, worker, mNowMillis));
         processOutput();
     }
 
     WorkflowState stateOf(String id) {
-        WorkflowRow row = mRows.get(id);
-        return row == null ? WorkflowState.PENDING : row.state();
+        return mRows.stateOf(id);
     }
 
     /** Returns the time from submission to completion, in milliseconds, or -1 if not complete. */
@@ -264,6 +270,10 @@
         return mWorkers.values();
     }
 
+    SimulatedRows rows() {
+        return mRows;
+    }
+
     Set<TaskKey> doneTasks() {
         return mDone;
     }
@@ -306,7 +316,7 @@
     }
 
     /** Runs a placement round, at once or once it is due, and delivers the scheduler's output. */
-    private void processOutput() {
+    void processOutput() {
         mRounds.request(this, this::runRound);
     }
 
@@ -363,6 +373,10 @@
             if (!scheduler.confirmStart(start, mNowMillis)) {
                 continue;
             }
+            if (mOrders != null) {
+                mOrders.send(scheduler, start, mEpoch);
+                continue;
+            }
             long deadlineMillis = scheduler.grantLease(start.workerId(), mNowMillis);
             mActivity.recordStart(start.task().step());
             // A former owner's start that is still on its way carries that owner's epoch.
@@ -378,14 +392,15 @@
                 worker == null || worker.isDisconnected()
                         ? StartOutcome.NOT_SENT
                         : worker.start(start, epoch, deadlineMillis);
-        at(
-                mDelays.startAnswerMillis(),
-                () -> {
-                    scheduler.handleStartOutcome(start, outcome, mNowMillis);
-                    if (scheduler.equals(mScheduler)) {
-                        processOutput();
-                    }
-                });
+        at(mDelays.startAnswerMillis(), () -> handleStartOutcome(scheduler, start, outcome));
+    }
+
+    /** Passes the outcome of a start to its owner. */
+    void handleStartOutcome(PoolScheduler scheduler, TaskStart start, StartOutcome outcome) {
+        scheduler.handleStartOutcome(start, outcome, mNowMillis);
+        if (scheduler.equals(mScheduler)) {
+            processOutput();
+        }
     }
 
     private void deliver(PoolScheduler scheduler, TaskStop stop) {
@@ -412,36 +427,4 @@
             processOutput();
         }
     }
-
-    /** Simulates a long poll: the worker answers when a run has ended or the poll times out. */
-    private void poll(PoolScheduler scheduler, SimulatedWorker worker, long sentMillis) {
-        if (!scheduler.equals(mScheduler)) {
-            return;
-        }
-        if (worker.isDisconnected()) {
-            scheduler.markUnresponsive(worker.mId);
-            at(POLL_TIMEOUT_MILLIS, () -> poll(scheduler, worker, mNowMillis));
-            return;
-        }
-        boolean pollStarts = sentMillis == mNowMillis;
-        if (pollStarts) {
-            worker.renewLease(scheduler.grantLease(worker.mId, mNowMillis));
-        }
-        boolean knownClock = scheduler.grantLease(worker.mId, mNowMillis) > 0;
-        boolean timedOut = !knownClock || mNowMillis - sentMillis >= POLL_TIMEOUT_MILLIS;
-        if (!timedOut && !worker.hasUnreportedEnds()) {
-            at(POLL_CHECK_MILLIS, () -> poll(scheduler, worker, sentMillis));
-            return;
-        }
-        RunReport report = worker.report();
-        at(
-                CALL_MILLIS,
-                () -> {
-                    if (scheduler.equals(mScheduler)) {
-                        scheduler.handleReport(worker.mId, report, sentMillis, mNowMillis);
-                        processOutput();
-                        poll(scheduler, worker, mNowMillis);
-                    }
-                });
-    }
 }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -163,6 +163,11 @@
      *     milliseconds
      */
     void restart(long clockErrorMillis) {
+        beginIncarnation(clockErrorMillis);
+        mPool.listAfter(SimulatedPool.HEARTBEAT_MILLIS, this);
+    }
+
+    private void beginIncarnation(long clockErrorMillis) {
         mRuns.clear();
         mHighestRuns.clear();
         mEnded.clear();
@@ -170,7 +175,6 @@
         mReportedSequence = 0;
         mFencingToken = 0;
         mIncarnationMillis = mPool.nowMillis() + EPOCH_MILLIS + clockErrorMillis;
-        mPool.listAfterHeartbeat(this);
     }
 
     /** Changes the capacity, which the next entry shows. */
@@ -183,15 +187,26 @@
      * after a while.
      */
     void crash() {
+        crash(DOWN_MILLIS, SimulatedPool.HEARTBEAT_MILLIS);
+    }
+
+    /** Crashes, starts again after a while, and is listed another while later. */
+    void crash(long downMillis, long listMillis) {
         List<SimulatedRun> lost = List.copyOf(mRuns.values());
         mRuns.clear();
+        // An end that is lost with its worker before the owner has made it durable did not count.
+        mEnded.stream()
+                .map(RunReport.Ended::task)
+                .filter(task -> !mPool.rows().isDone(task))
+                .forEach(mPool.doneTasks()::remove);
         lost.stream().filter(it -> it.spec().gang()).forEach(this::breakGang);
         mDisconnected = true;
         mPool.at(
-                DOWN_MILLIS,
+                downMillis,
                 () -> {
                     mDisconnected = false;
-                    restart();
+                    beginIncarnation(0);
+                    mPool.listAfter(listMillis, this);
                 });
     }
 
@@ -202,6 +217,25 @@
         }
     }
 
+    long incarnationMillis() {
+        return mIncarnationMillis;
+    }
+
+    /** Carries out an order that may be a repeat, or one from before a restart. */
+    StartOutcome repeatableStart(TaskStart order, long token, long deadlineMillis) {
+        SimulatedRun present = mRuns.get(order.task());
+        if (present != null && present.order().run() == order.run() && token >= mFencingToken) {
+            return StartOutcome.ACCEPTED;
+        }
+        if (order.run() <= mHighestRuns.getOrDefault(order.task(), 0)) {
+            return token < mFencingToken ? StartOutcome.FENCED : StartOutcome.OLD_RUN;
+        }
+        if (deadlineMillis == 0) {
+            return StartOutcome.TOO_LATE;
+        }
+        return start(order, token, deadlineMillis);
+    }
+
     StartOutcome start(TaskStart order, long token, long deadlineMillis) {
         if (mLosingStarts) {
             return StartOutcome.UNKNOWN;
@@ -288,15 +322,19 @@
     }
 
     private boolean isGangFinished(SimulatedRun run) {
+        int members = 0;
         for (SimulatedWorker worker : mPool.workers()) {
             for (SimulatedRun member : worker.mRuns.values()) {
-                if (member.order().task().step().equals(run.order().task().step())
-                        && !member.mFinished) {
+                boolean sameGang =
+                        member.order().task().step().equals(run.order().task().step())
+                                && member.order().run() == run.order().run();
+                if (sameGang && !member.mFinished) {
                     return false;
                 }
+                members += sameGang ? 1 : 0;
             }
         }
-        return true;
+        return members == run.spec().taskCount();
     }
 
     private void breakGang(SimulatedRun lost) {
