Acknowledge no ends to a worker that did not answer

The end of a run is acknowledged by its number, and a restarted worker counts its ends anew.

After a call without an answer, the next one acknowledges nothing; the worker lists ends again that were processed, which changes nothing. Once the list or a report names the next incarnation, its own ends count, as before.

WorkerPollerTest.noEndIsAcknowledgedToAWorkerThatDidNotAnswer failed before.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
@@ -180,7 +180,8 @@
         TaskRunner.Renewal renewal =
                 new TaskRunner.Renewal(
                         mCommitter.epoch(),
-                        mCommitter.durableEndSequence(worker.id()),
+                        // A worker that did not answer may have restarted and count its ends anew.
+                        poll.mUnresponsive ? 0 : mCommitter.durableEndSequence(worker.id()),
                         deadlineMillis,
                         reportAtOnce ? 0 : waitMillis);
         CompletableFuture<Void> unused =
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
@@ -13,8 +13,11 @@
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.internal.workflow.SchedulerLimits;
 import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.EndKind;
 import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.StartOutcome;
+import org.hyssoprouter.lib.workflow.StepKey;
+import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.TaskStop;
 import org.hyssoprouter.lib.workflow.WorkerEntry;
@@ -26,6 +29,7 @@
 
     private long mNowMillis = 1_000;
     private boolean mUnresponsive;
+    private List<RunReport.Ended> mEnds = List.of();
 
     /** Whether calls stay open; the last one is {@link #mOpenCall}. */
     private boolean mSilent;
@@ -36,7 +40,7 @@
     private final PoolScheduler mScheduler = new PoolScheduler(LIMITS, 0);
     private final OwnerCommitter mCommitter =
             new OwnerCommitter(
-                    new UnansweredTable(),
+                    new AnsweringTable(),
                     mScheduler,
                     new DirectExecutor(),
                     () -> mNowMillis,
@@ -142,6 +146,28 @@
         assertEquals(List.of("w:1"), mClosedAddresses);
     }
 
+    // Guards against ends of a new incarnation that an acknowledgement to the former one reaches.
+    @Test
+    void noEndIsAcknowledgedToAWorkerThatDidNotAnswer() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        list(1);
+        TaskKey task = new TaskKey(new StepKey("unknown", 0, 0), 0);
+        mEnds = List.of(new RunReport.Ended(7, task, 1, EndKind.DONE, ""));
+        mPoller.start();
+        mNowMillis += OwnerCommitter.HEARTBEAT_MILLIS;
+        mCommitter.commitIfDue();
+        advance(1_000);
+        assertEquals(7, last().acknowledged());
+        mUnresponsive = true;
+        advance(300);
+        advance(300);
+        assertEquals(0, last().acknowledged());
+        mUnresponsive = false;
+        advance(300);
+        advance(300);
+        assertEquals(7, last().acknowledged());
+    }
+
     private void list(long incarnation) {
         mScheduler.updateWorker(
                 new WorkerEntry(
@@ -200,7 +226,7 @@
                         Either.left(CallError.mayHaveRun(CallError.Kind.TIMEOUT, "timeout")));
             }
             return CompletableFuture.completedFuture(
-                    Either.right(new RunReport(mNowMillis, 1, List.of(), List.of())));
+                    Either.right(new RunReport(mNowMillis, 1, List.of(), mEnds)));
         }
 
         @Override
@@ -214,6 +240,16 @@
         }
     }
 
+    /** Carries out each commit at once. */
+    private static final class AnsweringTable extends UnansweredTable {
+        private long mVersion = 1;
+
+        @Override
+        public CompletableFuture<Either<CommitFailure, CommitResult>> commit(Batch batch) {
+            return CompletableFuture.completedFuture(Either.right(new CommitResult(++mVersion, 0)));
+        }
+    }
+
     private static final class IgnoringListener
             implements OwnerCommitter.Listener, WorkerPoller.Listener {
         @Override
