Notice an absent peer however late the call is queued

Traced by reading: a call is queued on the event loop after the connection is opened there, so a refused connection can end before; the call was then refused as to any closed connection. Callers of the daemon see it as a longer time without an owner: a killed owner whose host refuses the connection is not noticed by the ping, but by its silence (the way by which its peers learn of its end).

The connection keeps how it ended, and calls that are queued later end likewise. PeerLinkTest.absentPeerIsNoticedHoweverLateTheCallIsQueued, which lets 0.3 s pass before the call is queued, failed before each time it was run (once), and passes now, with the other eleven.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/ClientConnection.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/peer/ClientConnection.java
@@ -30,6 +30,9 @@
     private long mLastCallMillis;
     private volatile boolean mClosed;
 
+    /** Result of calls that are queued only after the connection has ended; loop thread only. */
+    private CallError.Kind mClosedKind = CallError.Kind.UNREACHABLE;
+
     ClientConnection(EventLoop loop, LinkContext linkContext) {
         super(linkContext);
         mLoop = loop;
@@ -75,15 +78,14 @@
         // The exception of a timeout is a subclass.
         boolean refused =
                 cause instanceof ConnectException && !(cause instanceof ConnectTimeoutException);
-        failAll(
-                refused ? CallError.Kind.ABSENT : CallError.Kind.UNREACHABLE,
-                "cannot connect to the peer: " + cause);
+        mClosedKind = refused ? CallError.Kind.ABSENT : CallError.Kind.UNREACHABLE;
+        failAll(mClosedKind, "cannot connect to the peer: " + cause);
     }
 
     private void enqueue(PendingCall call, long submittedMillis, long timeoutMillis) {
         if (mClosed) {
             mPendingCount.decrementAndGet();
-            call.reject(CallError.Kind.UNREACHABLE, "the connection to the peer is closed");
+            call.reject(mClosedKind, "the connection to the peer is closed");
             return;
         }
         long remainingMillis = timeoutMillis - (clock().millis() - submittedMillis);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/peer/PeerLinkTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.lib.Verdict;
@@ -32,6 +33,9 @@
     private static final long LONG_TIMEOUT_MILLIS = 20_000;
     private static final int LARGE_BYTES = 3_000_001;
 
+    /** Time in which a connection on loopback has been refused. */
+    private static final long QUEUE_DELAY_MILLIS = 300;
+
     private final PeerLink mServer = new PeerLink("127.0.0.1:0", MonotonicClock.system());
     private final PeerLink mClient = new PeerLink("127.0.0.1:0", MonotonicClock.system());
 
@@ -103,6 +107,30 @@
         assertEquals(CallError.Kind.ABSENT, error.kind());
     }
 
+    // Guards against an owner whose end goes unnoticed, as its host has refused the connection
+    // before the call was queued.
+    @Test
+    void absentPeerIsNoticedHoweverLateTheCallIsQueued() throws Exception {
+        Thread caller = Thread.currentThread();
+        MonotonicClock clock =
+                () -> {
+                    // A new connection and then the call read the clock on the caller's thread.
+                    if (Thread.currentThread().equals(caller)) {
+                        LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(QUEUE_DELAY_MILLIS));
+                    }
+                    return MonotonicClock.system().millis();
+                };
+        PeerLink slow = new PeerLink("127.0.0.1:0", clock);
+        try {
+            var result = slow.call("127.0.0.1:1", TYPE, TrafficClass.NORMAL, new byte[1], 5000);
+            CallError error = get(result).getLeft();
+            assertEquals(Verdict.NOT_RUN, error.verdict());
+            assertEquals(CallError.Kind.ABSENT, error.kind());
+        } finally {
+            slow.stop();
+        }
+    }
+
     @Test
     void connectionLostAfterCallGivesMayHaveRun() throws Exception {
         startServer((type, trafficClass, payload) -> new CompletableFuture<>());
