Report bytes that are no MessagePack value as an IOException

The report about odd entries can happen here, beside the executors' entries: a row of one of our own tables with bytes that are no MessagePack value ended its reader with an unchecked exception of the parser (MessageSizeException, MessageInsufficientBufferException), or with null for a nil, where readers expect an IOException. TableFollower then reads the whole table again each 150 ms and never gets past the row: the machine stops following the table.

MessageCodec.decode reports both as an IOException, for which all callers have a way. One test and both properties of MessageCodecTest failed before.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/util/MessageCodec.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/util/MessageCodec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
+import org.msgpack.core.MessagePackException;
 import org.msgpack.jackson.dataformat.MessagePackFactory;
 
 /**
@@ -46,6 +47,15 @@
      * @throws IOException if the bytes are not a valid encoding of {@code type}
      */
     public static <T> T decode(byte[] bytes, Class<T> type) throws IOException {
-        return MESSAGE_PACK.readValue(bytes, type);
+        T value;
+        try {
+            value = MESSAGE_PACK.readValue(bytes, type);
+        } catch (MessagePackException e) {
+            throw new IOException("no MessagePack value: " + e, e);
+        }
+        if (value == null) {
+            throw new IOException("expected " + type.getSimpleName() + ", found nil");
+        }
+        return value;
     }
 }
