Withhold starts while another daemon may have taken over

A worker that has restarted has seen no fencing token.

Change: starts whose commit was answered more than a second later than two commits in a row usually take are sent only after the next commit, which fails if there is another owner; that is the time after which others may take over, and they wait longer in a slow store, too. Attempts without an answer are not repeated then either: the run is stopped and placed again. The time of day counts beside the monotonic clock, which stands still on a suspended machine. E5114 shows it. In a store that becomes slow, one commit's starts wait for the next; in one that is slow all the time none do.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -108,6 +108,10 @@
     OWNER_ABSENT(5112, Level.INFO, "pool owner is absent", "owner", "epoch"),
     /** An entry of the worker list names no worker; it comes from another writer. */
     WORKER_ENTRY_IGNORED(5113, Level.WARNING, "worker entry ignored", "key", "bytes"),
+    /**
+     * The answer to a commit came so late that another daemon may be owner; the next one decides.
+     */
+    STARTS_WITHHELD(5114, Level.INFO, "starts withheld", "epoch", "sequence", "starts"),
     /** Preemptions of the past second, and steps for which no task was stopped, by cause. */
     OVERLOAD_HANDLED(5460, Level.INFO, "preemptions", "counts", "lostCoreSeconds"),
     /** The table store does not answer this daemon. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -52,8 +52,13 @@
     private final Set<String> mChangedIds = new LinkedHashSet<>();
     private final CommitRows mRows;
     private final CommitRefusals mRefusals;
+    private final OwnershipConfirmation mConfirmation;
     private final Map<String, PoolScheduler.ProcessedEnds> mDurableEnds = new HashMap<>();
     private List<TaskStart> mPendingStarts = new ArrayList<>();
+
+    /** Starts whose rows are durable, but which this daemon may no longer send. */
+    private List<TaskStart> mUnconfirmedStarts = new ArrayList<>();
+
     private OwnerRow mRow;
     private int mUnopenedCount;
     private long mVersion;
@@ -107,7 +112,11 @@
             List<TaskStart> starts,
             Map<String, WorkflowStatus> states,
             Map<String, PoolScheduler.ProcessedEnds> ends,
-            long sentMillis) {}
+            OwnershipConfirmation.Moment sent) {
+        long sentMillis() {
+            return sent.monotonicMillis();
+        }
+    }
 
     OwnerCommitter(
             PartitionTable table,
@@ -115,7 +124,9 @@
             SerialExecutor thread,
             MonotonicClock clock,
             Listener listener,
+            OwnershipConfirmation confirmation,
             OwnerLoadMonitor loadMonitor) {
+        mConfirmation = confirmation;
         mLoadMonitor = loadMonitor;
         mTable = table;
         mScheduler = scheduler;
@@ -133,6 +144,7 @@
         mUnopenedCount = row.unopenedCount();
         mVersion = version;
         mLastCommitMillis = mClock.millis();
+        mConfirmation.onBegun();
     }
 
     void close() {
@@ -185,7 +197,8 @@
     void commitIfDue() {
         collectOutput();
         boolean due = mClock.millis() - mLastCommitMillis >= HEARTBEAT_MILLIS;
-        if (mCommitInFlight || mClosed || (mChangedIds.isEmpty() && !due && !mReleasing)) {
+        boolean hasWork = !mChangedIds.isEmpty() || !mUnconfirmedStarts.isEmpty() || mReleasing;
+        if (mCommitInFlight || mClosed || !(hasWork || due)) {
             return;
         }
         send(nextGroup());
@@ -224,7 +237,7 @@
 
     /** Returns the number of starts that wait for a commit or are part of the one in flight. */
     int uncommittedStartCount() {
-        return mPendingStarts.size() + mStartsInFlightCount;
+        return mPendingStarts.size() + mStartsInFlightCount + mUnconfirmedStarts.size();
     }
 
     private Set<String> startingWorkflows() {
@@ -251,7 +264,8 @@
         batch.check(Schema.STATES, Schema.OWNER_KEY, mVersion);
         batch.put(Schema.STATES, Schema.OWNER_KEY, MessageCodec.encode(row));
         putLoad(batch);
-        return new CommitGroup(batch, row, starts, states, takeWrittenEnds(ids), mClock.millis());
+        return new CommitGroup(
+                batch, row, starts, states, takeWrittenEnds(ids), mConfirmation.now());
     }
 
     // While workflows change faster than they are written, some row is always left for the next
@@ -346,7 +360,7 @@
                             group.starts(),
                             group.states(),
                             group.ends(),
-                            mClock.millis()));
+                            mConfirmation.now()));
         }
     }
 
@@ -358,13 +372,14 @@
         mVersion = version;
         mLastCommitMillis = group.sentMillis();
         mLastDurationMillis = mClock.millis() - group.sentMillis();
+        mConfirmation.onCommitted(group.sent());
         if (mRow.released()) {
             mClosed = true;
             mListener.onReleased();
             return;
         }
         mDurableEnds.putAll(group.ends());
-        mListener.onStartsDurable(group.starts());
+        deliverStarts(group.starts());
         mListener.onStatesDurable(group.states());
         if (!group.ends().isEmpty()) {
             mListener.onEndsDurable();
@@ -372,6 +387,21 @@
         commitIfDue();
     }
 
+    /**
+     * Passes durable starts on, unless the answer came so late that another daemon may be owner by
+     * now. Then the next commit decides, since it fails if there is one.
+     */
+    private void deliverStarts(List<TaskStart> starts) {
+        mUnconfirmedStarts.addAll(starts);
+        if (!mConfirmation.isConfirmed()) {
+            LOG.log(LogEvent.STARTS_WITHHELD, mRow.epoch(), mRow.sequence(), starts.size());
+            return;
+        }
+        List<TaskStart> confirmed = mUnconfirmedStarts;
+        mUnconfirmedStarts = new ArrayList<>();
+        mListener.onStartsDurable(confirmed);
+    }
+
     private static Option<PartitionTable.Entry> ownerEntry(List<PartitionTable.Entry> entries) {
         for (PartitionTable.Entry entry : entries) {
             if (entry.key().name().equals(Schema.OWNER_KEY)) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.daemon.workflow;
 
+import java.time.Clock;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -50,6 +51,7 @@
     private final Map<String, WorkflowRow> mFormerRows = new HashMap<>();
     private final Set<String> mCancelledIds = new HashSet<>();
     private final MonotonicClock mClock;
+    private final Clock mTimeOfDay;
     private final StoreClock mStoreClock;
     private final FinishedWorkflowCompactor mCompactor;
     private final OpeningGuard mOpeningGuard;
@@ -70,32 +72,29 @@
             MemberRegistry members,
             ApprovalDispatcher.ApprovalTransport approvals,
             MonotonicClock clock,
+            Clock timeOfDay,
             StoreClock storeClock,
             WorkflowMeters meters) {}
 
-    /** Receives the events of an ownership. */
-    interface OwnershipListener {
-        /** The states have become durable. */
-        void onStatesDurable(Map<String, WorkflowStatus> states);
-
-        /** The store has refused the owner's commits for a while. */
-        void onCommitsRefused(PoolOwner owner);
-
-        /** The ownership is lost or released. */
-        void onOwnershipLost(PoolOwner owner, String reason);
-    }
-
     PoolOwner(Ports ports, WorkflowSettings settings, OwnershipListener listener) {
         mListener = listener;
         mClock = ports.clock();
+        mTimeOfDay = ports.timeOfDay();
         mStoreClock = ports.storeClock();
         mScheduler = new PoolScheduler(settings.limits(), mClock.millis());
         ComponentListener events = new ComponentListener();
         mLoadMonitor = new OwnerLoadMonitor(mClock, ports.meters());
         mDecisionLogger = new DecisionLogger(ports.meters());
+        OwnershipConfirmation confirmation = new OwnershipConfirmation(mClock, mTimeOfDay);
         mCommitter =
                 new OwnerCommitter(
-                        ports.table(), mScheduler, mThread, mClock, events, mLoadMonitor);
+                        ports.table(),
+                        mScheduler,
+                        mThread,
+                        mClock,
+                        events,
+                        confirmation,
+                        mLoadMonitor);
         mWorkerPoller =
                 new WorkerPoller(
                         mScheduler,
@@ -107,7 +106,13 @@
                         events);
         mRunDispatcher =
                 new RunDispatcher(
-                        mScheduler, ports.runner(), mThread, mClock, events, mLoadMonitor);
+                        mScheduler,
+                        ports.runner(),
+                        mThread,
+                        mClock,
+                        events,
+                        confirmation::isConfirmed,
+                        mLoadMonitor);
         mApprovalDispatcher =
                 new ApprovalDispatcher(
                         ports.members(),
@@ -230,7 +235,7 @@
         mApprovalDispatcher.pingMembers();
         mCompactor.compactIfDue();
         if (mPlacing) {
-            mScheduler.tick(mClock.millis(), System.currentTimeMillis());
+            mScheduler.tick(mClock.millis(), mTimeOfDay.millis());
         }
         runRound();
         measureLoad();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RunDispatcher.java
@@ -1,6 +1,7 @@
 package org.hyssoprouter.daemon.workflow;
 
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.daemon.ownership.SerialExecutor;
@@ -28,6 +29,7 @@
     private final SerialExecutor mThread;
     private final MonotonicClock mClock;
     private final Listener mListener;
+    private final BooleanSupplier mOwnership;
     private final OwnerLoadMonitor mLoadMonitor;
     private volatile boolean mClosed;
 
@@ -43,13 +45,20 @@
         void onOwnershipLost(String reason);
     }
 
+    /**
+     * Creates a dispatcher without orders.
+     *
+     * @param ownership returns whether this daemon is certainly still the owner
+     */
     RunDispatcher(
             PoolScheduler scheduler,
             TaskRunner runner,
             SerialExecutor thread,
             MonotonicClock clock,
             Listener listener,
+            BooleanSupplier ownership,
             OwnerLoadMonitor loadMonitor) {
+        mOwnership = ownership;
         mLoadMonitor = loadMonitor;
         mScheduler = scheduler;
         mRunner = runner;
@@ -121,7 +130,8 @@
         if (outcome == StartOutcome.UNKNOWN) {
             mScheduler.markStartUnanswered(attempt.order());
         }
-        boolean attemptsLeft = attempt.number() < MAX_START_ATTEMPTS;
+        // A worker that has restarted would accept the order of a former owner.
+        boolean attemptsLeft = attempt.number() < MAX_START_ATTEMPTS && mOwnership.getAsBoolean();
         if (attemptsLeft
                 && outcome == StartOutcome.UNKNOWN
                 && mScheduler.isStartCurrent(attempt.order())) {
@@ -153,7 +163,8 @@
         if (mClosed) {
             return;
         }
-        if (mScheduler.mayResendStart(attempt.order(), mClock.millis())) {
+        if (mOwnership.getAsBoolean()
+                && mScheduler.mayResendStart(attempt.order(), mClock.millis())) {
             send(attempt.next(false));
         } else {
             finish(attempt, StartOutcome.NOT_SENT);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -3,6 +3,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.time.Clock;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -87,6 +88,7 @@
      * @param approvals approval service
      * @param peers transport to the other daemons
      * @param clock steady clock
+     * @param timeOfDay time of day, which goes on while the machine is suspended
      * @param meters counters and histograms
      */
     public record Ports(
@@ -96,6 +98,7 @@
             ApprovalService approvals,
             PeerTransport peers,
             MonotonicClock clock,
+            Clock timeOfDay,
             WorkflowMeters meters) {}
 
     /** Creates a daemon that does nothing before {@link #start()}. */
@@ -341,6 +344,7 @@
                         new PeerApprovalTransport(
                                 mSettings.name(), mPorts.approvals(), mPorts.peers()),
                         mPorts.clock(),
+                        mPorts.timeOfDay(),
                         mStates.storeClock(),
                         mPorts.meters());
         PoolOwner owner = new PoolOwner(ports, mSettings, new OwnershipEvents());
@@ -397,7 +401,7 @@
     }
 
     /** Handles the events of this daemon's ownership. */
-    private final class OwnershipEvents implements PoolOwner.OwnershipListener {
+    private final class OwnershipEvents implements OwnershipListener {
         @Override
         public void onStatesDurable(Map<String, WorkflowStatus> states) {
             states.forEach(mStates::recordState);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
@@ -7,6 +7,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.time.Clock;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -62,6 +63,7 @@
                                     millis -> {}),
                             new UnusedApprovals(),
                             mNowMillis::get,
+                            Clock.systemUTC(),
                             new StoreClock(mNowMillis::get),
                             mMeters),
                     mSettings,
@@ -157,7 +159,7 @@
         }
     }
 
-    private final class LossListener implements PoolOwner.OwnershipListener {
+    private final class LossListener implements OwnershipListener {
         @Override
         public void onStatesDurable(Map<String, WorkflowStatus> states) {}
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -25,6 +26,8 @@
 class OwnerCommitterTest {
     private long mNowMillis = SchedulerFixture.NOW_MILLIS;
     private int mRefusedCount;
+    private int mLostCount;
+    private final List<TaskStart> mDurableStarts = new ArrayList<>();
     private final SchedulerFixture mFixture = new SchedulerFixture();
     private final PoolScheduler mScheduler = mFixture.scheduler();
     private final ManualTable mTable = new ManualTable();
@@ -35,6 +38,7 @@
                     new RepeatingExecutor(),
                     () -> mNowMillis,
                     new IgnoringListener(),
+                    new OwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
                     new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
 
     // Guards against acknowledging the end of a run before the row of its workflow is written.
@@ -176,6 +180,62 @@
         assertEquals(CommitRows.MAX_STARTING_WORKFLOWS, mCommitter.remainingStartingWorkflows());
     }
 
+    // Guards against the start of a former owner at a worker that has restarted and seen no token:
+    // while the answer was on its way, or the process was frozen, another daemon has taken over.
+    @Test
+    void startIsSentOnlyOnceALaterCommitHasConfirmedTheOwnership() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        mFixture.addWorker(new Room(1_000_000, 1_000_000, 0));
+        commitHeartbeat(10);
+        commitHeartbeat(10);
+        submitAndPlace("new", 1);
+        mCommitter.commitIfDue();
+        mNowMillis += Election.OWNER_TIMEOUT_MILLIS + 100;
+        mTable.answer();
+        assertEquals(List.of(), mDurableStarts);
+        mNowMillis += 10;
+        mTable.answer();
+        assertEquals(1, mDurableStarts.size());
+    }
+
+    @Test
+    void startIsNotSentAfterAnotherDaemonHasTakenOver() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        mFixture.addWorker(new Room(1_000_000, 1_000_000, 0));
+        commitHeartbeat(10);
+        commitHeartbeat(10);
+        submitAndPlace("new", 1);
+        mCommitter.commitIfDue();
+        mNowMillis += 3_000;
+        mTable.answer();
+        mTable.conflict();
+        assertEquals(1, mLostCount);
+        assertEquals(List.of(), mDurableStarts);
+    }
+
+    // Guards against an owner that starts nothing in a slow store: others wait longer for it there.
+    @Test
+    void startsAreSentInAStoreThatIsSlowAllTheTime() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        mFixture.addWorker(new Room(1_000_000, 1_000_000, 0));
+        commitHeartbeat(1_700);
+        commitHeartbeat(1_700);
+        mFixture.report(mNowMillis);
+        submitAndPlace("new", 1);
+        mNowMillis += 1_700;
+        mTable.answer();
+        mNowMillis += 1_700;
+        mTable.answer();
+        assertEquals(1, mDurableStarts.size());
+    }
+
+    private void commitHeartbeat(long durationMillis) {
+        mNowMillis += OwnerCommitter.HEARTBEAT_MILLIS;
+        mCommitter.commitIfDue();
+        mNowMillis += durationMillis;
+        mTable.answer();
+    }
+
     private void submitAndPlace(String prefix, int count) {
         for (int i = 0; i < count; i++) {
             mFixture.submit(prefix + i);
@@ -210,6 +270,13 @@
                     Either.left(new CommitFailure(TableError.unavailable("refused"), List.of())));
         }
 
+        void conflict() {
+            CompletableFuture<Either<CommitFailure, CommitResult>> pending = mPendingCommit;
+            mPendingCommit = new CompletableFuture<>();
+            pending.complete(
+                    Either.left(new CommitFailure(TableError.conflict("owner"), List.of())));
+        }
+
         /** Returns the states of a workflow that were written, in order. */
         List<WorkflowState> statesOf(String id) {
             List<WorkflowState> states = new ArrayList<>();
@@ -263,7 +330,9 @@
 
     private final class IgnoringListener implements OwnerCommitter.Listener {
         @Override
-        public void onStartsDurable(List<TaskStart> starts) {}
+        public void onStartsDurable(List<TaskStart> starts) {
+            mDurableStarts.addAll(starts);
+        }
 
         @Override
         public void onStatesDurable(Map<String, WorkflowStatus> states) {}
@@ -272,7 +341,9 @@
         public void onEndsDurable() {}
 
         @Override
-        public void onOwnershipLost(String reason) {}
+        public void onOwnershipLost(String reason) {
+            mLostCount++;
+        }
 
         @Override
         public void onCommitsRefused() {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOwnerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOwnerTest.java
@@ -6,6 +6,7 @@
 import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.time.Clock;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.BlockingQueue;
@@ -67,6 +68,7 @@
                                     millis -> {}),
                             new UnansweredApprovals(),
                             MonotonicClock.system(),
+                            Clock.systemUTC(),
                             new StoreClock(MonotonicClock.system()),
                             new WorkflowMeters()),
                     mSettings,
@@ -241,7 +243,7 @@
         }
     }
 
-    private static final class IgnoringListener implements PoolOwner.OwnershipListener {
+    private static final class IgnoringListener implements OwnershipListener {
         @Override
         public void onStatesDurable(Map<String, WorkflowStatus> states) {}
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/RunDispatcherTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/RunDispatcherTest.java
@@ -21,6 +21,7 @@
 
     private final SchedulerFixture mFixture = new SchedulerFixture();
     private final PoolScheduler mScheduler = mFixture.scheduler();
+    private boolean mConfirmed = true;
     private final ManualRunner mRunner = new ManualRunner();
     private final RunDispatcher mDispatcher =
             new RunDispatcher(
@@ -29,6 +30,7 @@
                     new DirectExecutor(),
                     () -> SchedulerFixture.NOW_MILLIS,
                     new IgnoringListener(),
+                    () -> mConfirmed,
                     new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
 
     private final SteppedExecutor mThread = new SteppedExecutor();
@@ -39,6 +41,7 @@
                     mThread,
                     mThread,
                     new IgnoringListener(),
+                    () -> mConfirmed,
                     new OwnerLoadMonitor(mThread, new WorkflowMeters()));
 
     @Test
@@ -66,6 +69,28 @@
         assertEquals(2, mRunner.mStarts.size());
     }
 
+    // Guards against a start that a former owner repeats to a worker which has seen no token.
+    @Test
+    void unansweredStartIsNotRepeatedWithoutConfirmedOwnership() {
+        mDispatcher.sendStart(mFixture.placeTask(), EPOCH);
+        mConfirmed = false;
+        mRunner.mStarts.get(0).complete(StartOutcome.UNKNOWN);
+        assertEquals(1, mRunner.mStarts.size());
+        assertEquals(1, mScheduler.output().takeStops().size(), "the task is not forgotten");
+    }
+
+    @Test
+    void unsentStartIsNotRepeatedWithoutConfirmedOwnership() {
+        TaskStart order = mFixture.placeTask();
+        sendDelayed(order);
+        mConfirmed = false;
+        answerLast(StartOutcome.NOT_SENT);
+        assertEquals(List.of(order), mRunner.mOrders);
+        mFixture.report(mThread.millis());
+        mScheduler.place(mThread.millis());
+        assertEquals(1, mScheduler.output().takeStarts().size(), "the task is not forgotten");
+    }
+
     // Guards against gangs that are aborted because a start waited too long on this host.
     @Test
     void startThatWasNotSentIsSentAgain() {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -45,6 +46,7 @@
                     new DirectExecutor(),
                     () -> mNowMillis,
                     new IgnoringListener(),
+                    new OwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
                     new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
     private final WorkerPoller mPoller =
             new WorkerPoller(
