Split the constructor of PoolOwner

The follower of the worker list is now built by a method of its own. No behavior changes. mvn compile, checkstyle:check and spotless:check pass for the daemon's module.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -141,19 +141,22 @@
                         new JobRowReader(new JobListener()));
         mOpeningGuard = new OpeningGuard(mClock, mCommitter, ports.meters(), this::releaseNow);
         mCompactor = new FinishedWorkflowCompactor(ports.table(), mClock);
-        mWorkerFollower =
-                new TableFollower(
-                        ports.table(),
-                        new TableFollower.Subscription(
-                                ports.workers().table(),
-                                List.of(""),
-                                READ_WAIT_MILLIS,
-                                WORKER_READ_PAUSE_MILLIS),
-                        new WorkerListReader(
-                                ports.workers(),
-                                mThread,
-                                settings.heartbeatMillis(),
-                                new WorkerChangeListener()));
+        mWorkerFollower = followWorkers(ports, settings);
+    }
+
+    private TableFollower followWorkers(Ports ports, WorkflowSettings settings) {
+        return new TableFollower(
+                ports.table(),
+                new TableFollower.Subscription(
+                        ports.workers().table(),
+                        List.of(""),
+                        READ_WAIT_MILLIS,
+                        WORKER_READ_PAUSE_MILLIS),
+                new WorkerListReader(
+                        ports.workers(),
+                        mThread,
+                        settings.heartbeatMillis(),
+                        new WorkerChangeListener()));
     }
 
     /** Starts with the row by which this daemon became owner. */
