Unlist a worker whose entry another writer has overwritten

Cause: a row of the worker list that names no worker was skipped, whatever it replaced. The running owner went on with the overwritten entry, while a new owner read none. If a draining worker's entry was overwritten and the odd row then removed, WorkerDepartureDetector still held the draining entry, took the removal for the worker's departure, and the tasks that ran there were placed again.

Change: such a row unlists the worker, as its removal would, until the worker writes again, and the detector discards the former entry.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerDepartureDetector.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerDepartureDetector.java
@@ -61,6 +61,15 @@
         mRemovedIds.remove(worker.id());
     }
 
+    /**
+     * Records that an entry was overwritten by one that names no worker, whose removal says nothing
+     * about the former one.
+     */
+    void onEntryOverwritten(String id) {
+        mEntries.remove(id);
+        mRemovedIds.remove(id);
+    }
+
     /** Records that a worker's entry was removed. */
     void onEntryRemoved(String id) {
         mRemovedIds.add(id);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerListReader.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerListReader.java
@@ -1,8 +1,11 @@
 package org.hyssoprouter.daemon.workflow;
 
+import io.vavr.control.Option;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.daemon.ownership.SerialExecutor;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.lib.workflow.WorkerEntry;
@@ -10,18 +13,23 @@
 
 /** Receives the rows of the worker list and passes its changes to the owner's thread. */
 final class WorkerListReader implements TableFollower.Listener {
+    private static final EventLogger LOG = EventLogger.of(WorkerListReader.class);
+
     private final WorkerSource mSource;
     private final SerialExecutor mThread;
     private final Listener mListener;
     private final WorkerDepartureDetector mDepartureDetector;
     private final Set<String> mListedIds = new HashSet<>();
 
+    /** Identifiers of the entries that name no worker, each of which is logged once. */
+    private final Set<String> mIgnoredIds = new HashSet<>();
+
     /** Receives changes of the list, on the owner's thread. */
     interface Listener {
         /** An entry was written. */
         void onListed(WorkerEntry worker);
 
-        /** An entry was removed; the worker may still be running. */
+        /** An entry was removed or names no worker anymore; the worker may still be running. */
         void onUnlisted(String id);
 
         /** A worker has ended. */
@@ -42,25 +50,39 @@
     @Override
     public void onReset() {
         mListedIds.clear();
+        mIgnoredIds.clear();
         mDepartureDetector.onReset();
     }
 
     @Override
     public void onRow(PartitionTable.Entry entry) {
         String id = entry.key().name();
-        if (entry.value() == null) {
-            mListedIds.remove(id);
+        byte[] value = entry.value();
+        if (value == null) {
+            mIgnoredIds.remove(id);
             mDepartureDetector.onEntryRemoved(id);
-            mThread.execute(() -> mListener.onUnlisted(id));
+            unlist(id);
+            return;
+        }
+        Option<WorkerEntry> decoded = mSource.decode(entry);
+        if (decoded.isEmpty()) {
+            if (mIgnoredIds.add(id)) {
+                LOG.log(LogEvent.WORKER_ENTRY_IGNORED, id, value.length);
+            }
+            mDepartureDetector.onEntryOverwritten(id);
+            unlist(id);
             return;
         }
-        mSource.decode(entry)
-                .forEach(
-                        worker -> {
-                            mListedIds.add(id);
-                            mDepartureDetector.onEntryWritten(worker);
-                            mThread.execute(() -> mListener.onListed(worker));
-                        });
+        WorkerEntry worker = decoded.get();
+        mIgnoredIds.remove(id);
+        mListedIds.add(id);
+        mDepartureDetector.onEntryWritten(worker);
+        mThread.execute(() -> mListener.onListed(worker));
+    }
+
+    private void unlist(String id) {
+        mListedIds.remove(id);
+        mThread.execute(() -> mListener.onUnlisted(id));
     }
 
     @Override
