Give two types of the pools' ownership names of their own

OwnershipConfirmation existed twice, for shards and for the pools, with different rules, and OwnershipListener beside ShardManager's. Renamed to PoolOwnershipConfirmation and PoolOwnershipListener; no behavior changes.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -52,7 +52,7 @@
     private final Set<String> mChangedIds = new LinkedHashSet<>();
     private final CommitRows mRows;
     private final CommitRefusals mRefusals;
-    private final OwnershipConfirmation mConfirmation;
+    private final PoolOwnershipConfirmation mConfirmation;
     private final Map<String, PoolScheduler.ProcessedEnds> mDurableEnds = new HashMap<>();
     private List<TaskStart> mPendingStarts = new ArrayList<>();
 
@@ -112,7 +112,7 @@
             List<TaskStart> starts,
             Map<String, WorkflowStatus> states,
             Map<String, PoolScheduler.ProcessedEnds> ends,
-            OwnershipConfirmation.Moment sent) {
+            PoolOwnershipConfirmation.Moment sent) {
         long sentMillis() {
             return sent.monotonicMillis();
         }
@@ -124,7 +124,7 @@
             SerialExecutor thread,
             MonotonicClock clock,
             Listener listener,
-            OwnershipConfirmation confirmation,
+            PoolOwnershipConfirmation confirmation,
             OwnerLoadMonitor loadMonitor) {
         mConfirmation = confirmation;
         mLoadMonitor = loadMonitor;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -35,7 +35,7 @@
     private static final long WORKER_READ_PAUSE_MILLIS = 200;
     private static final long STOP_TIMEOUT_MILLIS = 500;
 
-    private final OwnershipListener mListener;
+    private final PoolOwnershipListener mListener;
     private final SerialExecutor mThread = new SingleThreadExecutor("pool-owner");
     private final PoolScheduler mScheduler;
     private final OwnerCommitter mCommitter;
@@ -76,7 +76,7 @@
             StoreClock storeClock,
             WorkflowMeters meters) {}
 
-    PoolOwner(Ports ports, WorkflowSettings settings, OwnershipListener listener) {
+    PoolOwner(Ports ports, WorkflowSettings settings, PoolOwnershipListener listener) {
         mListener = listener;
         mClock = ports.clock();
         mTimeOfDay = ports.timeOfDay();
@@ -85,7 +85,7 @@
         ComponentListener events = new ComponentListener();
         mLoadMonitor = new OwnerLoadMonitor(mClock, ports.meters());
         mDecisionLogger = new DecisionLogger(ports.meters());
-        OwnershipConfirmation confirmation = new OwnershipConfirmation(mClock, mTimeOfDay);
+        PoolOwnershipConfirmation confirmation = new PoolOwnershipConfirmation(mClock, mTimeOfDay);
         mCommitter =
                 new OwnerCommitter(
                         ports.table(),
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnershipConfirmation.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwnershipConfirmation.java
@@ -7,7 +7,7 @@
  * Tells whether an owner can rely on its ownership, or may have been replaced meanwhile: while its
  * process is frozen or its commit is on its way, other daemons see its row unchanged.
  */
-final class OwnershipConfirmation {
+final class PoolOwnershipConfirmation {
     private final MonotonicClock mClock;
 
     /** Counts the time for which the machine was suspended, unlike the monotonic clock. */
@@ -22,7 +22,7 @@
     /** Point in time by both clocks, in milliseconds. */
     record Moment(long monotonicMillis, long epochMillis) {}
 
-    OwnershipConfirmation(MonotonicClock clock, Clock timeOfDay) {
+    PoolOwnershipConfirmation(MonotonicClock clock, Clock timeOfDay) {
         mClock = clock;
         mTimeOfDay = timeOfDay;
         mLastSent = now();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnershipListener.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwnershipListener.java
@@ -3,7 +3,7 @@
 import java.util.Map;
 
 /** Receives the events of an ownership. */
-interface OwnershipListener {
+interface PoolOwnershipListener {
     /** The states have become durable. */
     void onStatesDurable(Map<String, WorkflowStatus> states);
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -401,7 +401,7 @@
     }
 
     /** Handles the events of this daemon's ownership. */
-    private final class OwnershipEvents implements OwnershipListener {
+    private final class OwnershipEvents implements PoolOwnershipListener {
         @Override
         public void onStatesDurable(Map<String, WorkflowStatus> states) {
             states.forEach(mStates::recordState);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
@@ -159,7 +159,7 @@
         }
     }
 
-    private final class LossListener implements OwnershipListener {
+    private final class LossListener implements PoolOwnershipListener {
         @Override
         public void onStatesDurable(Map<String, WorkflowStatus> states) {}
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -38,7 +38,7 @@
                     new RepeatingExecutor(),
                     () -> mNowMillis,
                     new IgnoringListener(),
-                    new OwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
+                    new PoolOwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
                     new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
 
     // Guards against acknowledging the end of a run before the row of its workflow is written.
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOwnerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOwnerTest.java
@@ -243,7 +243,7 @@
         }
     }
 
-    private static final class IgnoringListener implements OwnershipListener {
+    private static final class IgnoringListener implements PoolOwnershipListener {
         @Override
         public void onStatesDurable(Map<String, WorkflowStatus> states) {}
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnershipConfirmationTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOwnershipConfirmationTest.java
@@ -12,8 +12,8 @@
 class OwnershipConfirmationTest {
     private long mNowMillis = 1_000;
     private long mSuspendedMillis;
-    private final OwnershipConfirmation mConfirmation =
-            new OwnershipConfirmation(() -> mNowMillis, new TimeOfDay());
+    private final PoolOwnershipConfirmation mConfirmation =
+            new PoolOwnershipConfirmation(() -> mNowMillis, new TimeOfDay());
 
     @Test
     void ownershipIsConfirmedUntilOthersMayTakeOver() {
@@ -52,7 +52,7 @@
     }
 
     private void commit(long durationMillis) {
-        OwnershipConfirmation.Moment sent = mConfirmation.now();
+        PoolOwnershipConfirmation.Moment sent = mConfirmation.now();
         mNowMillis += durationMillis;
         mConfirmation.onCommitted(sent);
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
@@ -46,7 +46,7 @@
                     new DirectExecutor(),
                     () -> mNowMillis,
                     new IgnoringListener(),
-                    new OwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
+                    new PoolOwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
                     new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
     private final WorkerPoller mPoller =
             new WorkerPoller(
