Count an ownership as unconfirmed once peers were asked to take over

Cause: an owner that the store refuses asks its peers to take over (E5110), and these do so before the owner's timeout of one second, which PoolOwnershipConfirmation counts from the last commit. Until then RunDispatcher repeated unanswered starts, and a worker that has restarted and seen no token of the new owner accepts them.

Change: the request revokes the confirmation, and the next successful commit, which fails if there is another owner, restores it. Unanswered starts are stopped and placed again meanwhile, as they are after a late commit.

OwnerCommitterTest.ownershipIsUnconfirmedOncePeersWereAskedToTakeOver failed before (confirmed).

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -324,6 +324,7 @@
         if (failure.error().kind() != TableError.Kind.CONFLICT) {
             logRetry(group, failure.error());
             if (mRefusals.onFailure(mClock.millis() - group.sentMillis())) {
+                mConfirmation.revoke();
                 mListener.onCommitsRefused();
             }
             mThread.schedule(() -> resend(group), RETRY_DELAY_MILLIS);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwnershipConfirmation.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwnershipConfirmation.java
@@ -16,6 +16,9 @@
     private Moment mLastSent;
     private long mLastDurationMillis;
 
+    /** Whether peers may take over before the owner's timeout. */
+    private boolean mRevoked;
+
     /** Duration that two commits in a row have taken, so that a single late answer stands out. */
     private long mUsualDurationMillis;
 
@@ -37,8 +40,14 @@
         mLastSent = now();
     }
 
+    /** Records that peers were asked to take over; the next successful commit confirms anew. */
+    void revoke() {
+        mRevoked = true;
+    }
+
     /** Records that a commit has succeeded that was sent at a time. */
     void onCommitted(Moment sent) {
+        mRevoked = false;
         mLastSent = sent;
         long durationMillis = millisSince(sent);
         mUsualDurationMillis = Math.min(mLastDurationMillis, durationMillis);
@@ -50,7 +59,8 @@
      * taken over since. In a slow store, the others wait longer, too.
      */
     boolean isConfirmed() {
-        return millisSince(mLastSent) < Election.OWNER_TIMEOUT_MILLIS + mUsualDurationMillis;
+        return !mRevoked
+                && millisSince(mLastSent) < Election.OWNER_TIMEOUT_MILLIS + mUsualDurationMillis;
     }
 
     private long millisSince(Moment moment) {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -1,6 +1,7 @@
 package org.hyssoprouter.daemon.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
@@ -31,6 +32,8 @@
     private final SchedulerFixture mFixture = new SchedulerFixture();
     private final PoolScheduler mScheduler = mFixture.scheduler();
     private final ManualTable mTable = new ManualTable();
+    private final PoolOwnershipConfirmation mConfirmation =
+            new PoolOwnershipConfirmation(() -> mNowMillis, Clock.systemUTC());
     private final OwnerCommitter mCommitter =
             new OwnerCommitter(
                     mTable,
@@ -38,7 +41,7 @@
                     new RepeatingExecutor(),
                     () -> mNowMillis,
                     new IgnoringListener(),
-                    new PoolOwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
+                    mConfirmation,
                     new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
 
     // Guards against acknowledging the end of a run before the row of its workflow is written.
@@ -112,6 +115,24 @@
         assertEquals(1, mRefusedCount);
     }
 
+    // Guards against orders of a former owner to a worker that has restarted and seen no token:
+    // the peers that were asked take over before the owner's timeout.
+    @Test
+    void ownershipIsUnconfirmedOncePeersWereAskedToTakeOver() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        mNowMillis += OwnerCommitter.HEARTBEAT_MILLIS;
+        mCommitter.commitIfDue();
+        while (mRefusedCount == 0) {
+            assertTrue(mConfirmation.isConfirmed());
+            mNowMillis += 100;
+            mTable.refuse();
+        }
+        assertFalse(mConfirmation.isConfirmed());
+        mNowMillis += 100;
+        mTable.answer();
+        assertTrue(mConfirmation.isConfirmed());
+    }
+
     // Fault: the store is slow for all, so that another owner would fare no better.
     @Test
     void unansweredCommitsAreNotRefused() {
