Count an ownership as unconfirmed once its release is sent

Cause: once the row says that the ownership is released, another daemon takes over at once. While the answer to that commit was on its way, up to a second, RunDispatcher still repeated unanswered starts, which a worker that has restarted and seen no token of the new owner accepts.

Change: sending the release revokes the confirmation. If its commit fails and the ownership goes on, the next successful one restores it.

OwnerCommitterTest.ownershipIsUnconfirmedOnceItsReleaseIsSent failed before (confirmed).

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -298,6 +298,9 @@
 
     private void send(CommitGroup group) {
         mCommitInFlight = true;
+        if (group.row().released()) {
+            mConfirmation.revoke();
+        }
         mSentMillis = mClock.millis();
         mStartsInFlightCount = group.starts().size();
         CompletableFuture<Void> unused =
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwnershipConfirmation.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwnershipConfirmation.java
@@ -16,7 +16,7 @@
     private Moment mLastSent;
     private long mLastDurationMillis;
 
-    /** Whether peers may take over before the owner's timeout. */
+    /** Whether others may take over before the owner's timeout. */
     private boolean mRevoked;
 
     /** Duration that two commits in a row have taken, so that a single late answer stands out. */
@@ -40,7 +40,10 @@
         mLastSent = now();
     }
 
-    /** Records that peers were asked to take over; the next successful commit confirms anew. */
+    /**
+     * Records that others were asked to take over or that the release of the ownership was sent.
+     * The next successful commit confirms the ownership anew.
+     */
     void revoke() {
         mRevoked = true;
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -133,6 +133,15 @@
         assertTrue(mConfirmation.isConfirmed());
     }
 
+    // Guards against the same after a release whose answer is late: others take over at once.
+    @Test
+    void ownershipIsUnconfirmedOnceItsReleaseIsSent() {
+        mCommitter.begin(new OwnerRow("a", "run", "127.0.0.1:1", 1, 0, false), 1);
+        assertTrue(mConfirmation.isConfirmed());
+        mCommitter.release();
+        assertFalse(mConfirmation.isConfirmed());
+    }
+
     // Fault: the store is slow for all, so that another owner would fare no better.
     @Test
     void unansweredCommitsAreNotRefused() {
