Ignore changes of rows in partitions that are not followed

Callers would have seen a task run twice, or a worker without work; found by reading, no run showed it.

Cause: the store reports the changes of a whole table, and TableFollower passed all of them on, though its first read covers the partitions of its subscription only. The readers go by the key. A row that another writer leaves in another partition under the key of a worker replaced that worker's entry for the running owner, and its removal counted as the worker's, while a new owner did not see it. The followers of our own tables had the same fault.

Change: a follower passes on changes of its partitions only. Each table is written in the partitions that its follower names (checked: jobs, states, runs, members).

TableFollowerTest.changesOfOtherPartitionsAreIgnored failed before ("expected: <[, ]> but was: <[, other, ]>").

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
@@ -36,7 +36,7 @@
      * Table to follow.
      *
      * @param table name of the table
-     * @param partitions partitions of the initial read
+     * @param partitions partitions to follow; rows of others are ignored
      * @param waitMillis time for which the store holds back an answer without changes, in
      *     milliseconds
      * @param pauseMillis time between an answer and the next call, in milliseconds
@@ -139,7 +139,10 @@
         }
         PartitionTable.Page page = read.get();
         handleReadSuccess(page.version());
-        page.entries().forEach(mListener::onRow);
+        // The store reports the changes of all partitions.
+        page.entries().stream()
+                .filter(row -> mSubscription.partitions().contains(row.key().partition()))
+                .forEach(mListener::onRow);
         mListener.onSynced(page.version(), page.storeMillis());
         Thread.sleep(mSubscription.pauseMillis());
         return Math.max(version, page.version());
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/TableFollowerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/TableFollowerTest.java
@@ -1,12 +1,15 @@
 package org.hyssoprouter.daemon.workflow;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.transport.PartitionTable;
@@ -82,15 +85,53 @@
         follower.stop();
     }
 
+    // Guards against a row of another writer that is taken for the one with its key: changes are
+    // those of all partitions of the table.
+    @Test
+    void changesOfOtherPartitionsAreIgnored() throws InterruptedException {
+        List<String> partitions = new CopyOnWriteArrayList<>();
+        CountDownLatch synced = new CountDownLatch(2);
+        TableFollower.Listener listener =
+                new TableFollower.Listener() {
+                    @Override
+                    public void onRow(PartitionTable.Entry entry) {
+                        partitions.add(entry.key().partition());
+                    }
+
+                    @Override
+                    public void onSynced(long version, long storeMillis) {
+                        synced.countDown();
+                    }
+                };
+        TableFollower follower =
+                new TableFollower(
+                        new SingleRowTable(0, "other", ""),
+                        new TableFollower.Subscription("table", List.of(""), 1_000, 0),
+                        listener);
+        follower.start();
+        assertTrue(synced.await(20, TimeUnit.SECONDS), "the changes are read");
+        follower.stop();
+        assertEquals(List.of("", ""), partitions);
+    }
+
     private static final class SingleRowTable implements PartitionTable {
+        private final List<String> mChangedPartitions;
+        private final AtomicBoolean mChangesRead = new AtomicBoolean();
         private final AtomicInteger mLostAnswers;
 
         SingleRowTable() {
             this(0);
         }
 
-        SingleRowTable(int lostAnswers) {
+        /**
+         * Creates a table.
+         *
+         * @param lostAnswers number of reads that are not answered
+         * @param changedPartitions partitions in which the row then changes, in order
+         */
+        SingleRowTable(int lostAnswers, String... changedPartitions) {
             mLostAnswers = new AtomicInteger(lostAnswers);
+            mChangedPartitions = List.of(changedPartitions);
         }
 
         @Override
@@ -103,15 +144,23 @@
             if (mLostAnswers.getAndDecrement() > 0) {
                 return new CompletableFuture<>();
             }
-            Entry row = new Entry(new Key(range.table(), range.partition(), "row"), 1, new byte[1]);
             return CompletableFuture.completedFuture(
-                    Either.right(new Page(List.of(row), false, 1, 0)));
+                    Either.right(
+                            new Page(List.of(row(range.table(), range.partition())), false, 1, 0)));
+        }
+
+        private static Entry row(String table, String partition) {
+            return new Entry(new Key(table, partition, "row"), 1, new byte[1]);
         }
 
         @Override
         public CompletableFuture<Either<TableError, Page>> pollChanges(
                 String table, long after, long waitMillis) {
-            return new CompletableFuture<>();
+            if (mChangedPartitions.isEmpty() || mChangesRead.getAndSet(true)) {
+                return new CompletableFuture<>();
+            }
+            List<Entry> rows = mChangedPartitions.stream().map(it -> row(table, it)).toList();
+            return CompletableFuture.completedFuture(Either.right(new Page(rows, false, 2, 0)));
         }
 
         @Override
