Let peers read a handover before a planned stop closes the peer link

Cause: the daemon closed its peer link as soon as its shards were handed over. In the failed run the shard was handed over at 06:55:32.736 and the stop ended at 32.848, while another daemon read the rows each 200 ms and still called the former owner. A call that arrives while the link closes is lost, and its sender cannot tell that it did not run. Ruled out: a stop of the calling daemon itself (d-south-b-0 did not stop), and a request in flight (the shard is handed over only after these).

Change: a daemon that had shards waits for two reads of the rows, during which it refuses such calls as not run.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/Daemon.java
@@ -34,6 +34,9 @@
 
     private static final long IN_FLIGHT_POLL_MILLIS = 20;
 
+    /** Number of reads of the cell's rows after which the other daemons know a new owner. */
+    private static final int PEER_READS = 2;
+
     private final DaemonSettings mSettings;
     private final DaemonReadiness mReadiness;
     private final ApiServer mApi;
@@ -114,7 +117,11 @@
         mReadiness.markNotReady();
         sleepMillis(TimeUnit.SECONDS.toMillis(mSettings.timing().balancerSeconds()));
         mReadiness.refuseCalls();
+        boolean ownsShards = ownsShards();
         handOverShards();
+        if (ownsShards) {
+            awaitReadsByPeers();
+        }
         awaitInFlightCalls();
         mApi.stop();
         mLoadPoller.stop();
@@ -127,6 +134,19 @@
         LOG.log(LogEvent.STOP_ENDED, mSettings.name(), millis);
     }
 
+    private boolean ownsShards() {
+        return mOwnership.shards().stream()
+                .anyMatch(row -> mOwnership.ownedShard(row.shard()).isDefined());
+    }
+
+    /**
+     * Waits until the other daemons have read that this one owns no shard anymore. Until then they
+     * call it, and cannot tell whether a call ran that arrives while the peer link closes.
+     */
+    private void awaitReadsByPeers() {
+        sleepMillis(PEER_READS * mSettings.timing().pollMillis());
+    }
+
     /** Waits up to {@code drainSeconds} until all calls in flight are answered. */
     private void awaitInFlightCalls() {
         long deadlineNanos =
