--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/ConfigDistributor.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/ConfigDistributor.java
@@ -201,7 +201,7 @@
     private void onStoreResult(
             Either<TableError, ConfigRowReader.Reading> result, long sentMillis, long waitMillis) {
         if (result.isLeft()) {
-            handleStoreFailure(result.getLeft());
+            handleStoreFailure(result.getLeft(), sentMillis);
             return;
         }
         long nowMillis = mPorts.clock().millis();
@@ -248,7 +248,7 @@
         return ConfigChanges.since(mCurrent, config).applyTo(mCurrent).getOrElse(config);
     }
 
-    private void handleStoreFailure(TableError error) {
+    private void handleStoreFailure(TableError error, long sentMillis) {
         if (error.kind() == TableError.Kind.CONFLICT) {
             // The store has dropped its history; the row is read as a whole.
             mPosition = -1;
@@ -260,7 +260,7 @@
             mStoreFailing = true;
             LOG.log(LogEvent.TABLE_UNREACHABLE, mPorts.tableName(), error.message());
         }
-        handleFailure(ConfigSource.STORE, error.message());
+        handleFailure(ConfigSource.STORE, sentMillis, error.message());
         step();
     }
 
@@ -302,7 +302,7 @@
                 // A large answer may be under way on a link that is slower than planned.
                 mPeerSlackMillis = Math.min(2 * mPeerSlackMillis, MAX_PEER_SLACK_MILLIS);
             }
-            handleFailure(source, result.getLeft().message());
+            handleFailure(source, sentMillis, result.getLeft().message());
             return;
         }
         try {
@@ -310,7 +310,7 @@
             handleReply(source, sentMillis, reply);
         } catch (IOException e) {
             LOG.log(LogEvent.ROW_UNREADABLE, "configuration from " + source.name(), e.getMessage());
-            handleFailure(source, "unreadable reply");
+            handleFailure(source, sentMillis, "unreadable reply");
         }
     }
 
@@ -325,7 +325,7 @@
                     reply.version(),
                     mCurrent.version(),
                     source.name());
-            handleFailure(source, "holds an older version");
+            handleFailure(source, sentMillis, "holds an older version");
             return;
         }
         long confirmedMillis = sentMillis + reply.heldMillis() - reply.ageMillis();
@@ -340,7 +340,7 @@
             Option<PoolConfig> config = changes.applyTo(mCurrent);
             if (config.isEmpty() || config.get().version() != reply.version()) {
                 mWholeNeeded = true;
-                handleFailure(source, "changes do not start at the version in force");
+                handleFailure(source, sentMillis, "changes do not start at the version in force");
                 return;
             }
             String kind = changes.baseVersion() == 0 ? "whole" : "changes";
@@ -351,7 +351,7 @@
         mPeerSlackMillis = PEER_SLACK_MILLIS;
         if (reply.ageMillis() > MAX_SOURCE_AGE_MILLIS) {
             confirm(confirmedMillis);
-            handleFailure(source, "not confirmed for " + reply.ageMillis() + " ms");
+            handleFailure(source, sentMillis, "not confirmed for " + reply.ageMillis() + " ms");
         } else {
             handleSuccess(source, confirmedMillis);
         }
@@ -397,9 +397,17 @@
         mLastFailure = "";
     }
 
-    private void handleFailure(ConfigSource source, String reason) {
+    private void handleFailure(ConfigSource source, long sentMillis, String reason) {
         mLastFailure = source.name() + ": " + reason;
-        mSelector.onFailure(source, mPorts.clock().millis());
+        long nowMillis = mPorts.clock().millis();
+        int failures = mSelector.onFailure(source, nowMillis);
+        LOG.log(
+                LogEvent.CONFIG_SOURCE_FAILED,
+                source.name(),
+                failures,
+                nowMillis - sentMillis,
+                ageSinceStartMillis(),
+                reason);
     }
 
     /** Answers a host that asks for what has changed; the reply may be held back. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/SourceSelector.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/SourceSelector.java
@@ -202,8 +202,12 @@
         mSuccessMillis = nowMillis;
     }
 
-    /** Records that a source has not answered, or cannot confirm a version. */
-    void onFailure(ConfigSource source, long nowMillis) {
+    /**
+     * Records that a source has not answered, or cannot confirm a version.
+     *
+     * @return number of its failures in a row
+     */
+    int onFailure(ConfigSource source, long nowMillis) {
         Failures former = mFailures.get(source);
         int count = former == null ? 1 : former.count() + 1;
         long firstMillis = source.isStore() ? STORE_RETRY_MILLIS : PEER_RETRY_MILLIS;
@@ -211,6 +215,7 @@
         double spread = MIN_SPREAD + SPREAD_RANGE * mRandom.getAsDouble();
         long pauseMillis = (long) (spread * Math.min(doubledMillis, maxRetryMillis(source)));
         mFailures.put(source, new Failures(count, nowMillis + pauseMillis));
+        return count;
     }
 
     private long maxRetryMillis(ConfigSource source) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -150,6 +150,16 @@
     /** Another host has sent an older version of the configuration, which was dropped. */
     OLDER_CONFIG_REFUSED(
             5423, Level.INFO, "older configuration refused", "version", "current", "source"),
+    /** A source of the configuration did not answer or could not confirm a version. */
+    CONFIG_SOURCE_FAILED(
+            5424,
+            Level.INFO,
+            "configuration source failed",
+            "source",
+            "failures",
+            "callMillis",
+            "ageMillis",
+            "reason"),
     /** The settings file was reread after SIGHUP. */
     SETTINGS_RELOADED(5301, Level.INFO, "settings file reread", "file", "outcome"),
     /** A version of the configuration is invalid; the previous one stays in force. */
