Ask sound sources of the configuration beside those that are silent

Cause: a host asked one source at a time, and each call to a host that is gone took up to a second before the next source had its turn, the table store included. Any answer after 2 s without one cleared all failures, as if the fault were the host's own, so that the hosts that are gone were waited for again from the first call on; the delays that they cause kept this going. The longer timeout after an unanswered call applied to all sources.

Change: a host waits for the first source without a failure only. Sources that have failed are called again beside it, and so is the store, once the version is too old. After a fault of its own a host calls all sources again at once, but keeps their failures until they answer. Each source has its own timeout. Retries come after 3 s at most (30 s for hosts, 4 s for the store before), because calls beside others delay nothing, and at most the eight strongest excluded hosts are called, so that the number of calls does not grow with the cell.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/ConfigDistributor.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/ConfigDistributor.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
@@ -55,6 +57,7 @@
     private static final long PEER_SLACK_MILLIS = 400;
 
     private static final long MAX_PEER_SLACK_MILLIS = 4_000;
+    private static final int MAX_SLACK_DOUBLINGS = 4;
 
     /** Time for which a starting host waits for the list of members. */
     private static final long MEMBERS_WAIT_MILLIS = 1_500;
@@ -67,7 +70,7 @@
     private final SourceSelector mSelector;
     private final int mMinHosts;
     private final long mStartMillis;
-    private final ReceivedParts mParts = new ReceivedParts();
+    private final Map<ConfigSource, ReceivedParts> mParts = new HashMap<>();
     private final ConfigResponder mResponder;
     private volatile PoolConfig mCurrent = PoolConfig.NONE;
     private volatile long mConfirmedMillis;
@@ -77,7 +80,12 @@
     /** Version of the store up to which changes are included; negative before the first read. */
     private long mPosition = -1;
 
-    private long mPeerSlackMillis = PEER_SLACK_MILLIS;
+    /** Whether the answer of a main source is awaited, or the pause after it. */
+    private boolean mMainCalled;
+
+    /** Number of the last step; the timers of earlier ones do nothing. */
+    private long mStepCount;
+
     private boolean mWholeNeeded;
     private boolean mStoreFailing;
     private String mSource = "";
@@ -171,16 +179,45 @@
             return;
         }
         SourceSelector.Choice choice = mSelector.choose(hosts, ageSinceStartMillis(), nowMillis);
-        if (choice.pauseMillis() > 0) {
-            mPorts.thread().schedule(this::step, choice.pauseMillis());
-        } else if (choice.source().isStore()) {
-            askStore(nowMillis);
+        choice.beside().forEach(it -> ask(it, false, nowMillis));
+        if (!mMainCalled) {
+            choice.main().forEach(it -> ask(it, true, nowMillis));
+        }
+        long step = ++mStepCount;
+        mPorts.thread()
+                .schedule(
+                        () -> {
+                            if (step == mStepCount) {
+                                step();
+                            }
+                        },
+                        choice.pauseMillis());
+    }
+
+    /**
+     * Asks a source.
+     *
+     * @param main whether the next main call follows its answer
+     */
+    private void ask(ConfigSource source, boolean main, long nowMillis) {
+        mSelector.onCall(source);
+        mMainCalled |= main;
+        if (source.isStore()) {
+            askStore(main, nowMillis);
         } else {
-            askPeer(choice, nowMillis);
+            askPeer(source, main, nowMillis);
         }
     }
 
-    private void askStore(long nowMillis) {
+    /** Goes on after an answer, or the failure of a call. */
+    private void proceed(boolean main) {
+        if (main) {
+            mMainCalled = false;
+        }
+        step();
+    }
+
+    private void askStore(boolean main, long nowMillis) {
         long waitMillis = mSelector.isSharing() ? READER_STORE_WAIT_MILLIS : STORE_WAIT_MILLIS;
         boolean whole = mPosition < 0;
         CompletableFuture<Either<TableError, ConfigRowReader.Reading>> read =
@@ -194,14 +231,19 @@
                                                         () ->
                                                                 onStoreResult(
                                                                         result,
+                                                                        main,
                                                                         nowMillis,
                                                                         whole ? 0 : waitMillis)));
     }
 
     private void onStoreResult(
-            Either<TableError, ConfigRowReader.Reading> result, long sentMillis, long waitMillis) {
+            Either<TableError, ConfigRowReader.Reading> result,
+            boolean main,
+            long sentMillis,
+            long waitMillis) {
         if (result.isLeft()) {
             handleStoreFailure(result.getLeft(), sentMillis);
+            proceed(main);
             return;
         }
         long nowMillis = mPorts.clock().millis();
@@ -219,13 +261,14 @@
         } else {
             applyRow(row, sentMillis);
         }
-        mPorts.thread().schedule(this::step, STORE_PAUSE_MILLIS);
+        mPorts.thread().schedule(() -> proceed(main), STORE_PAUSE_MILLIS);
     }
 
     private void applyRow(byte[] row, long sentMillis) {
         mPorts.meters().recordConfigBytes("store", row.length);
         Option<PoolConfig> config = mPorts.decoder().apply(row).map(ConfigDistributor::sort);
         if (config.isEmpty()) {
+            handleFailure(ConfigSource.STORE, sentMillis, "unreadable row");
             return;
         }
         if (config.get().version() > mCurrent.version()) {
@@ -252,7 +295,7 @@
         if (error.kind() == TableError.Kind.CONFLICT) {
             // The store has dropped its history; the row is read as a whole.
             mPosition = -1;
-            step();
+            mSelector.onSuccess(ConfigSource.STORE, mPorts.clock().millis());
             return;
         }
         mPorts.meters().recordConfigCall("store", "failed");
@@ -261,21 +304,28 @@
             LOG.log(LogEvent.TABLE_UNREACHABLE, mPorts.tableName(), error.message());
         }
         handleFailure(ConfigSource.STORE, sentMillis, error.message());
-        step();
     }
 
-    private void askPeer(SourceSelector.Choice choice, long nowMillis) {
-        long waitMillis = choice.probe() ? 0 : PEER_WAIT_MILLIS;
+    private void askPeer(ConfigSource source, boolean main, long nowMillis) {
+        int failures = mSelector.failureCount(source);
+        // A source that has failed must answer at once.
+        long waitMillis = failures > 0 ? 0 : PEER_WAIT_MILLIS;
+        // A large answer may be under way on a link that is slower than planned.
+        long slackMillis =
+                Math.min(
+                        PEER_SLACK_MILLIS << Math.min(failures, MAX_SLACK_DOUBLINGS),
+                        MAX_PEER_SLACK_MILLIS);
         long version = mWholeNeeded ? 0 : mCurrent.version();
-        byte[] payload = MessageCodec.encode(mParts.request(choice.source(), version, waitMillis));
+        ReceivedParts parts = mParts.computeIfAbsent(source, key -> new ReceivedParts());
+        PeerQuestion question = new PeerQuestion(source, mCurrent.version(), nowMillis, parts);
         CompletableFuture<Void> unused =
                 mPorts.peers()
                         .call(
-                                choice.source().address(),
+                                source.address(),
                                 PeerCallType.CONFIG_CHANGES.number(),
                                 TrafficClass.BULK,
-                                payload,
-                                waitMillis + mPeerSlackMillis)
+                                MessageCodec.encode(parts.request(version, waitMillis)),
+                                waitMillis + slackMillis)
                         .exceptionally(
                                 e ->
                                         Either.left(
@@ -286,40 +336,37 @@
                                         mPorts.thread()
                                                 .execute(
                                                         () -> {
-                                                            onPeerReply(
-                                                                    choice.source(),
-                                                                    nowMillis,
-                                                                    reply);
-                                                            step();
+                                                            onPeerReply(question, reply);
+                                                            proceed(main);
                                                         }));
     }
 
-    private void onPeerReply(
-            ConfigSource source, long sentMillis, Either<CallError, byte[]> result) {
+    /** Open call to another host, and the version that was in force when it was sent. */
+    private record PeerQuestion(
+            ConfigSource source, long version, long sentMillis, ReceivedParts parts) {}
+
+    private void onPeerReply(PeerQuestion question, Either<CallError, byte[]> result) {
+        ConfigSource source = question.source();
         if (result.isLeft()) {
             mPorts.meters().recordConfigCall("peer", "failed");
-            if (result.getLeft().kind() == CallError.Kind.TIMEOUT) {
-                // A large answer may be under way on a link that is slower than planned.
-                mPeerSlackMillis = Math.min(2 * mPeerSlackMillis, MAX_PEER_SLACK_MILLIS);
-            }
-            handleFailure(source, sentMillis, result.getLeft().message());
+            handleFailure(source, question.sentMillis(), result.getLeft().message());
             return;
         }
         try {
-            ConfigReply reply = MessageCodec.decode(result.get(), ConfigReply.class);
-            handleReply(source, sentMillis, reply);
+            handleReply(question, MessageCodec.decode(result.get(), ConfigReply.class));
         } catch (IOException e) {
             LOG.log(LogEvent.ROW_UNREADABLE, "configuration from " + source.name(), e.getMessage());
-            handleFailure(source, sentMillis, "unreadable reply");
+            handleFailure(source, question.sentMillis(), "unreadable reply");
         }
     }
 
-    private void handleReply(ConfigSource source, long sentMillis, ConfigReply reply)
-            throws IOException {
+    private void handleReply(PeerQuestion question, ConfigReply reply) throws IOException {
+        ConfigSource source = question.source();
+        long sentMillis = question.sentMillis();
         int bytes = reply.changes().length;
         mPorts.meters().recordConfigCall("peer", bytes == 0 ? "none" : "changes");
         mPorts.meters().recordConfigBytes("peer", bytes);
-        if (reply.version() < mCurrent.version()) {
+        if (reply.version() < question.version()) {
             LOG.log(
                     LogEvent.OLDER_CONFIG_REFUSED,
                     reply.version(),
@@ -328,9 +375,14 @@
             handleFailure(source, sentMillis, "holds an older version");
             return;
         }
+        if (question.version() < mCurrent.version() && reply.version() != mCurrent.version()) {
+            // Another source has answered meanwhile, so that these changes do not apply.
+            mSelector.onSuccess(source, mPorts.clock().millis());
+            return;
+        }
         long confirmedMillis = sentMillis + reply.heldMillis() - reply.ageMillis();
         if (reply.version() > mCurrent.version()) {
-            Option<byte[]> received = mParts.add(reply);
+            Option<byte[]> received = question.parts().add(reply);
             if (received.isEmpty()) {
                 // The next call continues with the rest.
                 mSelector.onSuccess(source, mPorts.clock().millis());
@@ -348,7 +400,6 @@
         }
         mWholeNeeded = false;
         mPosition = Math.max(mPosition, reply.position());
-        mPeerSlackMillis = PEER_SLACK_MILLIS;
         if (reply.ageMillis() > MAX_SOURCE_AGE_MILLIS) {
             confirm(confirmedMillis);
             handleFailure(source, sentMillis, "not confirmed for " + reply.ageMillis() + " ms");
@@ -361,6 +412,7 @@
             PoolConfig config, ConfigSource source, String kind, int bytes, long confirmedMillis) {
         mResponder.add(config);
         mCurrent = config;
+        mParts.clear();
         LOG.log(
                 LogEvent.CONFIG_RECEIVED,
                 config.version(),
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/ReceivedParts.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/ReceivedParts.java
@@ -4,20 +4,18 @@
 import java.io.ByteArrayOutputStream;
 
 /**
- * Parts received so far of the changes to a version. A large answer comes in parts, so that a slow
- * link carries none of them twice when a call times out.
+ * Parts received so far from one source of the changes to a version. A large answer comes in parts,
+ * so that a slow link carries none of them twice when a call times out.
  */
 final class ReceivedParts {
     private final ByteArrayOutputStream mBytes = new ByteArrayOutputStream();
-    private ConfigSource mSource = ConfigSource.STORE;
     private long mBase;
     private long mTarget;
 
-    /** Returns the request that continues with that source, or begins anew. */
-    ConfigRequest request(ConfigSource source, long version, long waitMillis) {
-        if (!source.equals(mSource) || version != mBase) {
+    /** Returns the request that continues, or begins anew. */
+    ConfigRequest request(long version, long waitMillis) {
+        if (version != mBase) {
             mBytes.reset();
-            mSource = source;
             mBase = version;
         }
         boolean begun = mBytes.size() > 0;
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/SourceSelector.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/SourceSelector.java
@@ -1,11 +1,15 @@
 package org.hyssoprouter.daemon.distribution;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.DoubleSupplier;
+import java.util.stream.Collectors;
 
 /**
  * Chooses where a host gets the configuration from.
@@ -15,8 +19,9 @@
  * region reads the table store, and the others ask that one. Each host ranks the members of its
  * region by itself, strongest first, so that no election is needed; hosts that rank differently,
  * because one of them cannot reach a reader, still get the configuration, from whichever host they
- * ask. A source that fails is tried again after a time that doubles. The table store is the last
- * way for all but the first two of a region, and their turns there are spread over time.
+ * ask. A source that fails is tried again after a time that doubles, beside the calls to the
+ * others, so that silent sources delay none of them. The table store is the last way for all but
+ * the first two of a region, and their turns there are spread over time.
  *
  * <p>Used on one thread only.
  */
@@ -24,6 +29,9 @@
     /** Number of failures in a row after which a host no longer counts in the ranking. */
     private static final int MAX_FAILURES = 3;
 
+    /** Number of excluded hosts that are tried again, so that the calls do not grow with a cell. */
+    private static final int MAX_RETRIED_HOSTS = 8;
+
     /** Number of hosts in the ranking that the others ask. */
     private static final int READERS = 2;
 
@@ -37,21 +45,27 @@
     private static final long STORE_RETRY_MILLIS = 150;
 
     private static final long MAX_READER_STORE_RETRY_MILLIS = 600;
-    private static final long MAX_STORE_RETRY_MILLIS = 4_000;
+
+    /** Like the next, below the time within which a host that is back must be up to date (4 s). */
+    private static final long MAX_STORE_RETRY_MILLIS = 2_500;
+
     private static final long PEER_RETRY_MILLIS = 400;
-    private static final long MAX_PEER_RETRY_MILLIS = 30_000;
+    private static final long MAX_PEER_RETRY_MILLIS = 3_000;
 
     /** Time without any answer after which the fault was this host's, so that all are retried. */
     private static final long OWN_FAULT_MILLIS = 2_000;
 
     private static final double MIN_SPREAD = 0.75;
     private static final double SPREAD_RANGE = 0.5;
-    private static final long MAX_PAUSE_MILLIS = 150;
+
+    /** Longest time between two choices, after which the list of hosts may be another one. */
+    private static final long MAX_PAUSE_MILLIS = 1_000;
 
     private final String mSelf;
     private final int mMinHosts;
     private final DoubleSupplier mRandom;
     private final Map<ConfigSource, Failures> mFailures = new HashMap<>();
+    private final Set<ConfigSource> mCalled = new HashSet<>();
     private long mSuccessMillis;
     private int mRank;
     private boolean mSharing;
@@ -60,14 +74,14 @@
     private record Failures(int count, long retryMillis) {}
 
     /**
-     * Next source to ask.
+     * Sources to ask.
      *
-     * @param source source
-     * @param probe whether its last answer failed, so that it must answer at once
-     * @param pauseMillis time to wait before the call, in milliseconds; if it is above 0, the
-     *     choice is made again after it
+     * @param main source whose answer this host waits for; none while no source is sound
+     * @param beside sources to ask beside it, whatever becomes of its answer: those that have
+     *     failed, once their pause is over, and the store once the version is too old
+     * @param pauseMillis time after which to choose again, in milliseconds
      */
-    record Choice(ConfigSource source, boolean probe, long pauseMillis) {}
+    record Choice(Option<ConfigSource> main, List<ConfigSource> beside, long pauseMillis) {}
 
     /**
      * Creates a selector.
@@ -85,25 +99,54 @@
     }
 
     /**
-     * Chooses the next source.
+     * Chooses the sources to ask now. None of them has an open call.
      *
      * @param hosts known hosts of the cell, including this one
      * @param ageMillis time since this host's version was known to be the newest, in milliseconds
      */
     Choice choose(List<ConfigHost> hosts, long ageMillis, long nowMillis) {
-        long firstRetryMillis = nowMillis + MAX_PAUSE_MILLIS;
-        ConfigSource first = ConfigSource.STORE;
-        for (ConfigSource source : order(hosts, ageMillis)) {
+        forgetUnlisted(hosts);
+        Option<ConfigSource> main = Option.none();
+        List<ConfigSource> beside = new ArrayList<>();
+        long wakeMillis = nowMillis + MAX_PAUSE_MILLIS;
+        for (ConfigSource source : order(hosts)) {
             Failures failures = mFailures.get(source);
-            if (failures == null || failures.retryMillis() <= nowMillis) {
-                return new Choice(source, failures != null, 0);
+            if (failures == null) {
+                main = main.orElse(Option.some(source));
+            } else if (failures.retryMillis() > nowMillis) {
+                wakeMillis = Math.min(wakeMillis, failures.retryMillis());
+            } else if (!mCalled.contains(source)) {
+                beside.add(source);
             }
-            if (failures.retryMillis() < firstRetryMillis) {
-                firstRetryMillis = failures.retryMillis();
-                first = source;
+        }
+        if (mSharing && mRank > 0 && !mCalled.contains(ConfigSource.STORE)) {
+            long storeMillis = storeReadMillis(nowMillis - ageMillis);
+            if (storeMillis > nowMillis) {
+                wakeMillis = Math.min(wakeMillis, storeMillis);
+            } else if (!beside.contains(ConfigSource.STORE)) {
+                beside.add(ConfigSource.STORE);
             }
         }
-        return new Choice(first, true, Math.max(1, firstRetryMillis - nowMillis));
+        return new Choice(
+                main.filter(it -> !mCalled.contains(it) && !beside.contains(it)),
+                beside,
+                wakeMillis - nowMillis);
+    }
+
+    /** Returns the time at which a host that is no reader reads the store. */
+    private long storeReadMillis(long confirmedMillis) {
+        long tooOldMillis = confirmedMillis + STORE_AGE_MILLIS + mRank * STORE_STEP_MILLIS;
+        Failures failures = mFailures.get(ConfigSource.STORE);
+        return failures == null ? tooOldMillis : Math.max(tooOldMillis, failures.retryMillis());
+    }
+
+    /** Forgets the failures of hosts that are no longer members. */
+    private void forgetUnlisted(List<ConfigHost> hosts) {
+        if (!mFailures.isEmpty() && !hosts.isEmpty()) {
+            Set<ConfigSource> sources =
+                    hosts.stream().map(ConfigSource::of).collect(Collectors.toSet());
+            mFailures.keySet().removeIf(it -> !it.isStore() && !sources.contains(it));
+        }
     }
 
     /** Returns the position of this host among the live ones of its region; 0 is the reader. */
@@ -116,7 +159,7 @@
         return mSharing;
     }
 
-    private List<ConfigSource> order(List<ConfigHost> hosts, long ageMillis) {
+    private List<ConfigSource> order(List<ConfigHost> hosts) {
         ConfigHost self =
                 hosts.stream().filter(it -> it.name().equals(mSelf)).findFirst().orElse(null);
         mRank = 0;
@@ -135,7 +178,7 @@
         List<ConfigSource> order = new ArrayList<>();
         // An excluded host that ranks above the present reader is tried again from time to time.
         region.stream()
-                .limit(region.indexOf(mRank == 0 ? self : live.get(0)))
+                .limit(Math.min(MAX_RETRIED_HOSTS, region.indexOf(live.get(0))))
                 .map(ConfigSource::of)
                 .forEach(order::add);
         List<ConfigSource> peers =
@@ -156,10 +199,6 @@
             order.add(ConfigSource.STORE);
         }
         addReaderOfOtherRegion(order, hosts, self);
-        long storeAgeMillis = STORE_AGE_MILLIS + mRank * STORE_STEP_MILLIS;
-        if (mRank > 1 && ageMillis >= storeAgeMillis) {
-            order.add(ConfigSource.STORE);
-        }
         return order;
     }
 
@@ -193,12 +232,25 @@
         return failures == null || failures.count() < MAX_FAILURES;
     }
 
-    /** Records an answer that confirms a version. */
+    /** Records a call to a source. */
+    void onCall(ConfigSource source) {
+        mCalled.add(source);
+    }
+
+    /** Returns the number of failures of a source since its last answer. */
+    int failureCount(ConfigSource source) {
+        Failures failures = mFailures.get(source);
+        return failures == null ? 0 : failures.count();
+    }
+
+    /** Records an answer that confirms a version, or brings a part of one. */
     void onSuccess(ConfigSource source, long nowMillis) {
+        mCalled.remove(source);
+        mFailures.remove(source);
         if (nowMillis - mSuccessMillis > OWN_FAULT_MILLIS) {
-            mFailures.clear();
+            // Not forgotten: sources that are silent all the same must not be waited for again.
+            mFailures.replaceAll((key, it) -> new Failures(it.count(), nowMillis));
         }
-        mFailures.remove(source);
         mSuccessMillis = nowMillis;
     }
 
@@ -208,6 +260,7 @@
      * @return number of its failures in a row
      */
     int onFailure(ConfigSource source, long nowMillis) {
+        mCalled.remove(source);
         Failures former = mFailures.get(source);
         int count = former == null ? 1 : former.count() + 1;
         long firstMillis = source.isStore() ? STORE_RETRY_MILLIS : PEER_RETRY_MILLIS;
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/distribution/ConfigDistributorTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/distribution/ConfigDistributorTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
@@ -183,4 +184,78 @@
             System.out.println(line);
         }
     }
+
+    /** Longest time from a version's acknowledgement until hosts in touch go by it. */
+    private static final long APPLY_MILLIS = 2_500;
+
+    /** Time after the end of a disruption from which on a host is in touch. */
+    private static final long CONTACT_MILLIS = 4_000;
+
+    private static final int SMALL_REGION_HOSTS = 9;
+
+    private PoolConfig storeNext(SimulatedNetwork network, PoolConfig former) {
+        PoolConfig next =
+                SimulatedNetwork.config(former.version() + 1, former.queues().size() + 1, former);
+        mStoredMillis = network.mClock.millis();
+        network.store(next, SMALL_ROW_BYTES);
+        return next;
+    }
+
+    private void assertAppliedByAllBut(SimulatedNetwork network, List<String> gone) {
+        network.mHosts.stream()
+                .map(ConfigHost::name)
+                .filter(it -> !gone.contains(it))
+                .forEach(
+                        it -> {
+                            Long appliedMillis = network.mAppliedMillis.get(it);
+                            assertTrue(
+                                    appliedMillis != null
+                                            && appliedMillis - mStoredMillis <= APPLY_MILLIS,
+                                    it + " applied at " + appliedMillis + ", not in time");
+                        });
+    }
+
+    // Guards against hosts that go by an old configuration because listed hosts are gone (CONFIG).
+    @Test
+    void hostsThatAreGoneDelayNoVersion() {
+        SimulatedNetwork network = new SimulatedNetwork(2, SMALL_REGION_HOSTS, MIN_HOSTS, 0);
+        PoolConfig config = SMALL;
+        network.store(config, SMALL_ROW_BYTES);
+        network.advance(5_000);
+        List<String> gone = new ArrayList<>();
+        for (int i = 0; i < 5; i++) {
+            for (int region = 0; region < 2; region++) {
+                gone.add("r%d-h%02d".formatted(region, i));
+                network.cut(gone.get(gone.size() - 1));
+                network.advance(2_500);
+            }
+        }
+        network.advance(6_000);
+        for (int i = 0; i < 6; i++) {
+            config = storeNext(network, config);
+            network.advance(4_000);
+            assertAppliedByAllBut(network, gone);
+        }
+    }
+
+    // Guards against a host that is not asked, or does not ask, for long after it is back.
+    @Test
+    void hostsThatAreBackAreInForceWithinTheTimeOfContact() {
+        for (int cutMillis = 3_000; cutMillis <= 30_000; cutMillis += 3_000) {
+            SimulatedNetwork network = new SimulatedNetwork(2, SMALL_REGION_HOSTS, MIN_HOSTS, 0);
+            network.store(SMALL, SMALL_ROW_BYTES);
+            network.advance(5_000);
+            List.of("r0-h00", "r1-h00", "r1-h05").forEach(network::cut);
+            network.advance(cutMillis);
+            PoolConfig config = storeNext(network, SMALL);
+            network.mCutHosts.clear();
+            network.advance(CONTACT_MILLIS);
+            for (ConfigHost host : network.mHosts) {
+                assertEquals(
+                        config.version(),
+                        network.distributor(host.name()).current().version(),
+                        host.name() + " after " + cutMillis + " ms");
+            }
+        }
+    }
 }
