Spread the last reads of the store over a fixed time in each region

Callers' view: requests handled by an older version after all hosts that a host asks have gone at once.

Cause: a host without a confirmed version reads the store after 2.0 s and 100 ms more for each host that ranks above it, so from the sixth live host of a region on later than the 2.5 s after which a version must be in force everywhere.

Change: the reads of a region are spread over 600 ms from 1.7 s on, whatever the number of its hosts.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/SourceSelector.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/distribution/SourceSelector.java
@@ -36,10 +36,13 @@
     private static final int READERS = 2;
 
     /** Time without a confirmed version after which a host that is no reader reads the store. */
-    static final long STORE_AGE_MILLIS = 2_000;
+    static final long STORE_AGE_MILLIS = 1_700;
 
-    /** Spread of those reads: difference between two hosts that follow in the ranking. */
-    private static final long STORE_STEP_MILLIS = 100;
+    /**
+     * Time over which those reads of a region are spread. With the age it is less than the 2.5 s
+     * after which all hosts must go by a version.
+     */
+    private static final long STORE_SPREAD_MILLIS = 600;
 
     /** Pause after a failed read of the store, also where every host reads it. */
     private static final long STORE_RETRY_MILLIS = 150;
@@ -68,6 +71,7 @@
     private final Set<ConfigSource> mCalled = new HashSet<>();
     private long mSuccessMillis;
     private int mRank;
+    private int mLiveCount = 1;
     private boolean mSharing;
 
     /** Failures of a source since its last answer. */
@@ -135,7 +139,8 @@
 
     /** Returns the time at which a host that is no reader reads the store. */
     private long storeReadMillis(long confirmedMillis) {
-        long tooOldMillis = confirmedMillis + STORE_AGE_MILLIS + mRank * STORE_STEP_MILLIS;
+        long tooOldMillis =
+                confirmedMillis + STORE_AGE_MILLIS + mRank * STORE_SPREAD_MILLIS / mLiveCount;
         Failures failures = mFailures.get(ConfigSource.STORE);
         return failures == null ? tooOldMillis : Math.max(tooOldMillis, failures.retryMillis());
     }
@@ -175,6 +180,7 @@
         List<ConfigHost> live =
                 region.stream().filter(it -> it.equals(self) || isLive(it)).toList();
         mRank = live.indexOf(self);
+        mLiveCount = live.size();
         List<ConfigSource> order = new ArrayList<>();
         // An excluded host that ranks above the present reader is tried again from time to time.
         region.stream()
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/distribution/ConfigDistributorTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/distribution/ConfigDistributorTest.java
@@ -238,6 +238,22 @@
         }
     }
 
+    // Guards against hosts that read the store too late because they rank low (CONFIG).
+    @Test
+    void hostsThatGoAtOnceDelayNoVersion() {
+        for (int offsetMillis = 0; offsetMillis < 3_000; offsetMillis += 100) {
+            SimulatedNetwork network = new SimulatedNetwork(2, SMALL_REGION_HOSTS, MIN_HOSTS, 0);
+            network.store(SMALL, SMALL_ROW_BYTES);
+            network.advance(5_000);
+            List<String> gone = List.of("r0-h00", "r1-h00", "r1-h01", "r1-h02", "r1-h03");
+            gone.forEach(network::cut);
+            network.advance(offsetMillis);
+            storeNext(network, SMALL);
+            network.advance(4_000);
+            assertAppliedByAllBut(network, gone);
+        }
+    }
+
     // Guards against a host that is not asked, or does not ask, for long after it is back.
     @Test
     void hostsThatAreBackAreInForceWithinTheTimeOfContact() {
