Remove hosts that are gone from the list of members

Cause: the row that a daemon writes into hyssop-members at its start was never removed, however the daemon went. Rows that were deleted while the store dropped its history stayed in the readers' lists, too.

Change: a daemon deletes its row when a planned stop begins. The owner of the pools deletes the rows of members that have answered none of at least six pings within 10 s. Both name the version of the row that they mean, so that a late deletion spares the next incarnation. A daemon that finds its row deleted writes it again, also after a cut or a freeze: its poll of the list is made anew once the store answers after 2 s without an answer. Of several members at one address only the newest counts.

Cost at the store, counted by tests: one transaction for each member that comes, leaves or is gone, none while all live.

In ApprovalDispatcherTest the peers had one address for all, which counts as one member now; each has its own.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -160,6 +160,16 @@
             "callMillis",
             "ageMillis",
             "reason"),
+    /** Another daemon has registered as a member of the cell. */
+    MEMBER_LISTED(5430, Level.INFO, "member listed", "name", "address", "members"),
+    /** The row of another daemon was removed. */
+    MEMBER_UNLISTED(5431, Level.INFO, "member no longer listed", "name", "members"),
+    /** This daemon has removed the row of a member that is gone, or has tried to. */
+    MEMBER_REMOVED(5432, Level.INFO, "member removed", "name", "incarnation", "reason", "outcome"),
+    /** This daemon's row was removed though it lives; it is written again. */
+    MEMBER_REGISTERED_AGAIN(5433, Level.INFO, "member registered again", "name", "incarnation"),
+    /** This daemon leaves and has removed its row, or has tried to. */
+    MEMBER_LEFT(5434, Level.INFO, "member left", "name", "outcome"),
     /** The settings file was reread after SIGHUP. */
     SETTINGS_RELOADED(5301, Level.INFO, "settings file reread", "file", "outcome"),
     /** A version of the configuration is invalid; the previous one stays in force. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -66,6 +66,7 @@
     private final OwnerLoadMonitor mLoadMonitor;
     private final PendingApprovals mPendingRequests = new PendingApprovals();
     private final Map<MemberKey, MemberState> mMemberStates = new HashMap<>();
+    private final AbsentMemberRemover mAbsentMemberRemover;
     private boolean mClosed;
 
     /** Identifies one incarnation of a daemon. */
@@ -118,6 +119,7 @@
         mThread = thread;
         mClock = clock;
         mOnResult = onResult;
+        mAbsentMemberRemover = new AbsentMemberRemover(members, thread);
     }
 
     void close() {
@@ -129,15 +131,19 @@
         dispatch();
     }
 
-    /** Pings the other daemons whose ping interval has elapsed. */
+    /** Pings the other daemons whose ping interval has elapsed, and removes those that are gone. */
     void pingMembers() {
+        if (mClosed) {
+            return;
+        }
+        mAbsentMemberRemover.removeAbsent(mClock.millis());
         for (MemberRow member : mMembers.all()) {
             MemberState state = stateOf(member);
             long nowMillis = mClock.millis();
             boolean due =
                     !state.mPingOutstanding
                             && nowMillis - state.mPingSentMillis >= PING_INTERVAL_MILLIS;
-            if (mClosed || !due || member.equals(mMembers.self())) {
+            if (!due || member.equals(mMembers.self())) {
                 continue;
             }
             state.mPingOutstanding = true;
@@ -150,12 +156,15 @@
                             .thenAccept(
                                     answered ->
                                             mThread.execute(
-                                                    () -> handlePingResult(state, answered)));
+                                                    () ->
+                                                            handlePingResult(
+                                                                    member, state, answered)));
         }
     }
 
-    private void handlePingResult(MemberState state, boolean answered) {
+    private void handlePingResult(MemberRow member, MemberState state, boolean answered) {
         state.mPingOutstanding = false;
+        mAbsentMemberRemover.recordPing(member, answered, state.mPingSentMillis);
         if (answered) {
             // The transport bounds the time to the answer; a later handling is this side's delay.
             long nowMillis = mClock.millis();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
@@ -2,9 +2,11 @@
 
 import io.vavr.control.Either;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.function.Function;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.errors.TableError;
@@ -30,6 +32,10 @@
     private final Listener mListener;
     private volatile boolean mStopped;
     private volatile @Nullable Thread mThread;
+
+    /** Poll whose answer is awaited. */
+    private volatile @Nullable CompletableFuture<Either<TableError, PartitionTable.Page>> mPoll;
+
     private boolean mReadFailing;
 
     /**
@@ -88,6 +94,14 @@
         }
     }
 
+    /** Gives up an open poll, whose connection may be lost, and polls again. */
+    public void restartPoll() {
+        CompletableFuture<Either<TableError, PartitionTable.Page>> poll = mPoll;
+        if (poll != null) {
+            poll.complete(Either.left(TableError.unavailable("poll given up")));
+        }
+    }
+
     private void follow() {
         try {
             while (!mStopped) {
@@ -150,9 +164,12 @@
 
     private Either<TableError, PartitionTable.Page> poll(long version) throws InterruptedException {
         long waitMillis = mSubscription.waitMillis();
+        CompletableFuture<Either<TableError, PartitionTable.Page>> poll =
+                mTable.pollChanges(mSubscription.table(), version, waitMillis)
+                        .thenApply(Function.identity());
+        mPoll = poll;
         try {
-            return mTable.pollChanges(mSubscription.table(), version, waitMillis)
-                    .get(waitMillis + POLL_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+            return poll.get(waitMillis + POLL_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
         } catch (ExecutionException | TimeoutException e) {
             return Either.left(TableError.unavailable(String.valueOf(e)));
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -210,33 +210,30 @@
 
     @Override
     public void stop() {
-        mThread.execute(
-                () -> {
-                    mOwnershipDisabled = true;
-                    PoolOwner owner = mOwner;
-                    mOwner = null;
-                    if (owner != null) {
-                        owner.release();
-                    }
-                });
+        leave();
         mThread.shutdown(STOP_TIMEOUT_MILLIS);
         mStates.stop();
         mMembers.stop();
     }
 
     /**
-     * Releases the pools if this daemon owns them, and stops campaigning; callers are still served.
+     * Leaves the cell: releases the pools if this daemon owns them, stops campaigning, and removes
+     * this daemon from the list of members. Callers are still served.
+     *
+     * @since 0.3
      */
-    public void disableOwnership() {
-        mThread.execute(
-                () -> {
-                    mOwnershipDisabled = true;
-                    PoolOwner owner = mOwner;
-                    mOwner = null;
-                    if (owner != null) {
-                        owner.release();
-                    }
-                });
+    public void leave() {
+        mMembers.leave();
+        mThread.execute(this::disableOwnership);
+    }
+
+    private void disableOwnership() {
+        mOwnershipDisabled = true;
+        PoolOwner owner = mOwner;
+        mOwner = null;
+        if (owner != null) {
+            owner.release();
+        }
     }
 
     /** Applies the configuration in force. */
@@ -362,6 +359,7 @@
 
         @Override
         public void onSynced(long storeMillis) {
+            mMembers.recordStoreAnswer(storeMillis);
             mThread.execute(
                     () -> {
                         mLastStoreMillis = storeMillis;
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
@@ -206,7 +206,7 @@
         public CompletableFuture<Either<TableError, Page>> read(Range range) {
             List<Entry> entries = new ArrayList<>();
             for (int i = 0; i < mPeerCount; i++) {
-                MemberRow peer = new MemberRow("peer" + i, "run", "127.0.0.1:2", 1);
+                MemberRow peer = new MemberRow("peer" + i, "run", "127.0.0.1:" + (2 + i), 1);
                 Key key = new Key(range.table(), "", peer.name());
                 entries.add(new Entry(key, 1, MessageCodec.encode(peer)));
             }
