Forward calls to peers that answer first

Callers' view: while the store does not answer the daemon that they use, their calls take 0.7 s longer or fail, for as long as hosts that are gone are listed.

Cause: the two peers to which a call is forwarded are drawn at random from all members, and a call without an answer was forgotten, but for writers of grouped submissions.

Change: UnreachablePeers remembers calls without an answer, for both; peers that did not answer are tried last, the oldest failure first, until they answer.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ForwardingWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ForwardingWorkflowService.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.daemon.ownership.SerialExecutor;
@@ -48,7 +49,8 @@
     private final LocalWorkflowService mLocal;
     private final SubmissionGrouping mGrouping;
     private final BooleanSupplier mStoreAvailable;
-    private final MemberRegistry mMembers;
+    private final Supplier<List<MemberRow>> mOtherMembers;
+    private final UnreachablePeers mUnreachable;
     private final PeerTransport mPeers;
     private final SerialExecutor mThread;
 
@@ -56,18 +58,22 @@
      * Creates a service.
      *
      * @param storeAvailable whether the store has answered this daemon recently
+     * @param otherMembers returns the other daemons
+     * @param unreachable peers that do not answer, which are tried last
      */
     ForwardingWorkflowService(
             LocalWorkflowService local,
             SubmissionGrouping grouping,
             BooleanSupplier storeAvailable,
-            MemberRegistry members,
+            Supplier<List<MemberRow>> otherMembers,
+            UnreachablePeers unreachable,
             PeerTransport peers,
             SerialExecutor thread) {
         mLocal = local;
         mGrouping = grouping;
         mStoreAvailable = storeAvailable;
-        mMembers = members;
+        mOtherMembers = otherMembers;
+        mUnreachable = unreachable;
         mPeers = peers;
         mThread = thread;
     }
@@ -107,9 +113,6 @@
                 .recordDuration(callPeer(call, writer, GROUPED_TIMEOUT_MILLIS))
                 .thenCompose(
                         reply -> {
-                            if (reply.isLeft()) {
-                                mGrouping.recordUnreachable(writer);
-                            }
                             if (!isFinal(reply)) {
                                 return mLocal.submit(spec, call.configVersion());
                             }
@@ -201,10 +204,9 @@
     }
 
     private List<MemberRow> peers() {
-        List<MemberRow> peers = new ArrayList<>(mMembers.all());
-        peers.remove(mMembers.self());
+        List<MemberRow> peers = new ArrayList<>(mOtherMembers.get());
         Collections.shuffle(peers, ThreadLocalRandom.current());
-        return peers.subList(0, Math.min(MAX_PEERS, peers.size()));
+        return mUnreachable.failedLast(peers).subList(0, Math.min(MAX_PEERS, peers.size()));
     }
 
     /** Calls the peers in turn until one has served the call or may have done so. */
@@ -234,6 +236,7 @@
                 .thenApply(reply -> reply.flatMap(ForwardingWorkflowService::decode))
                 .thenApply(
                         reply -> {
+                            mUnreachable.record(peer, reply.isRight());
                             LOG.log(
                                     LogEvent.WORKFLOW_FORWARDED,
                                     call.id(),
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
@@ -136,6 +136,11 @@
         return mCurrent;
     }
 
+    /** Returns the daemons without this one, sorted by name. */
+    List<MemberRow> others() {
+        return mCurrent.stream().filter(it -> !it.equals(mSelf)).toList();
+    }
+
     /** Returns the daemons whose address a newer one has. */
     List<MemberRow> replaced() {
         return mReplaced;
@@ -217,7 +222,7 @@
     /** Returns the other daemons with at least a share of the strongest one's processor time. */
     List<MemberRow> strongPeers(double share) {
         double cores = share * maxCores();
-        return all().stream().filter(it -> !it.equals(mSelf) && it.cores() >= cores).toList();
+        return others().stream().filter(it -> it.cores() >= cores).toList();
     }
 
     /** Returns whether the list was read once. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/SubmissionGrouping.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/SubmissionGrouping.java
@@ -2,9 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Supplier;
 import org.hyssoprouter.util.MonotonicClock;
 
@@ -25,9 +23,6 @@
     /** Time for which submissions are grouped after a slow transaction. */
     static final long MEMORY_MILLIS = 1_500;
 
-    /** Time for which a writer that did not answer is left out: a restart of its daemon. */
-    static final long AVOIDED_MILLIS = 3_000;
-
     /** Number of daemons up to which their transactions rarely wait for one another. */
     static final int MIN_DAEMONS = 16;
 
@@ -38,8 +33,7 @@
     private final MemberRow mSelf;
     private final MonotonicClock mClock;
 
-    /** End of the time for which a writer that did not answer is left out. */
-    private final Map<MemberRow, Long> mAvoidedUntilMillis = new ConcurrentHashMap<>();
+    private final UnreachablePeers mUnreachable;
 
     // Guarded by this.
     private long mSlowUntilMillis = Long.MIN_VALUE;
@@ -48,8 +42,14 @@
      * Creates a grouping for one daemon.
      *
      * @param members returns the daemons, including this one, in the same order on all of them
+     * @param unreachable peers that do not answer; their partitions are written without them
      */
-    SubmissionGrouping(Supplier<List<MemberRow>> members, MemberRow self, MonotonicClock clock) {
+    SubmissionGrouping(
+            Supplier<List<MemberRow>> members,
+            MemberRow self,
+            UnreachablePeers unreachable,
+            MonotonicClock clock) {
+        mUnreachable = unreachable;
         mMembers = members;
         mSelf = self;
         mClock = clock;
@@ -62,11 +62,6 @@
         }
     }
 
-    /** Records that a writer did not answer; its partitions are written without it for a while. */
-    void recordUnreachable(MemberRow writer) {
-        mAvoidedUntilMillis.put(writer, mClock.millis() + AVOIDED_MILLIS);
-    }
-
     /** Records the duration of a grouped submission when it ends. */
     <T> CompletableFuture<T> recordDuration(CompletableFuture<T> submission) {
         long sentMillis = mClock.millis();
@@ -92,8 +87,9 @@
                 members.stream().filter(it -> it.cores() >= WRITER_CPU_SHARE * maxCores).toList();
         int index = Math.floorMod(Schema.jobPartition(id).hashCode(), writers.size());
         MemberRow writer = writers.get(index);
-        boolean avoided = mAvoidedUntilMillis.getOrDefault(writer, 0L) > mClock.millis();
-        return avoided || writer.equals(mSelf) ? Option.none() : Option.some(writer);
+        return mUnreachable.contains(writer) || writer.equals(mSelf)
+                ? Option.none()
+                : Option.some(writer);
     }
 
     private synchronized boolean isSlow() {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -122,8 +122,9 @@
                         () -> campaignIfDue(storeMillis()));
         mStates = new WorkflowStateCache(ports.table(), new OwnerRowListener(), ports.clock());
         mHedgedTable = new HedgedTable(ports.table(), mThread, ports.clock(), ports.meters());
+        UnreachablePeers unreachable = new UnreachablePeers(ports.clock());
         SubmissionGrouping grouping =
-                new SubmissionGrouping(mMembers::all, mMembers.self(), ports.clock());
+                new SubmissionGrouping(mMembers::all, mMembers.self(), unreachable, ports.clock());
         LocalWorkflowService local =
                 new LocalWorkflowService(
                         new LocalWorkflowService.Ports(
@@ -139,7 +140,8 @@
                         local,
                         grouping,
                         () -> storeAnsweredWithin(FORWARD_TIMEOUT_MILLIS),
-                        mMembers,
+                        mMembers::others,
+                        unreachable,
                         ports.peers(),
                         mThread);
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SubmissionGroupingTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SubmissionGroupingTest.java
@@ -13,11 +13,11 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import java.util.stream.IntStream;
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.errors.TableError;
-import org.hyssoprouter.internal.workflow.SchedulerLimits;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.lib.Verdict;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
@@ -46,6 +46,9 @@
     private final Set<String> mDead = new HashSet<>();
     private int mForwardedCalls;
 
+    /** Whether the store does not answer the first daemon, which forwards its calls then. */
+    private boolean mForwarding;
+
     /**
      * Makes the transactions of a partition one after another, and refuses them while more than a
      * second of them waits.
@@ -141,21 +144,19 @@
 
     private void startDaemons(int count, boolean grouped) {
         for (int i = 0; i < count; i++) {
+            int number = i;
             MemberRow self = member(i);
-            WorkflowSettings settings =
-                    new WorkflowSettings(
-                            self.name(),
-                            self.incarnation(),
-                            self.address(),
-                            new SchedulerLimits(6_000, 900, 2_500),
-                            1_500,
-                            self.cores());
             List<MemberRow> all =
                     IntStream.range(0, count).mapToObj(SubmissionGroupingTest::member).toList();
+            UnreachablePeers unreachable = new UnreachablePeers(mThread);
             SubmissionGrouping grouping =
-                    new SubmissionGrouping(() -> grouped ? all : List.of(), self, mThread);
-            MemberRegistry noPeers =
-                    new MemberRegistry(mTable, settings, mThread::schedule, mThread, millis -> {});
+                    new SubmissionGrouping(
+                            () -> grouped ? all : List.of(), self, unreachable, mThread);
+            Supplier<List<MemberRow>> others =
+                    () ->
+                            mForwarding
+                                    ? all.stream().filter(it -> !it.equals(self)).toList()
+                                    : List.of();
             LocalWorkflowService local =
                     new LocalWorkflowService(
                             new LocalWorkflowService.Ports(
@@ -168,7 +169,13 @@
             mDaemons.put(
                     self.address(),
                     new ForwardingWorkflowService(
-                            local, grouping, () -> true, noPeers, new Peers(), mThread));
+                            local,
+                            grouping,
+                            () -> !mForwarding || number > 0,
+                            others,
+                            unreachable,
+                            new Peers(),
+                            mThread));
         }
     }
 
@@ -249,4 +256,30 @@
         double unused = few.acceptedShareAtEnd();
         assertEquals(0, few.mForwardedCalls);
     }
+
+    // Guards against calls that are forwarded to hosts that are gone, again and again.
+    @Test
+    void peersThatDidNotAnswerAreTriedLast() {
+        mForwarding = true;
+        mTable.mTransactionMillis = 10;
+        startDaemons(12, false);
+        for (int i = 2; i < 12; i++) {
+            mDead.add("d" + i);
+        }
+        int accepted = 0;
+        for (int i = 0; i < 100; i++) {
+            WorkflowSpec spec =
+                    new WorkflowSpec(
+                            String.format("%016x", i),
+                            "q",
+                            "",
+                            List.of(),
+                            WorkflowSpec.Schedule.ONCE);
+            CompletableFuture<SubmitResult> result = daemon("d0").submit(spec, 1);
+            mThread.advance(100);
+            boolean atOnce = result.isDone() && result.join().verdict() == Verdict.RAN;
+            accepted += atOnce ? 1 : 0;
+        }
+        assertTrue(accepted >= 70, "accepted within 100 ms: " + accepted);
+    }
 }
