Drop the state of members that are gone in the approval dispatcher

Cause: the owner kept one state for each incarnation of a daemon that it had ever seen, and never dropped it.

Test: stateOfMembersThatAreGoneIsDropped, which needs the new count of states; without the call of forgetUnlisted it holds 11.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcher.java
@@ -137,7 +137,9 @@
             return;
         }
         mAbsentMemberRemover.removeAbsent(mClock.millis());
-        for (MemberRow member : mMembers.all()) {
+        List<MemberRow> members = mMembers.all();
+        forgetUnlisted(members);
+        for (MemberRow member : members) {
             MemberState state = stateOf(member);
             long nowMillis = mClock.millis();
             boolean due =
@@ -162,6 +164,17 @@
         }
     }
 
+    /**
+     * Forgets members that are gone and earlier incarnations; their open calls end by themselves.
+     */
+    private void forgetUnlisted(List<MemberRow> members) {
+        if (mMemberStates.size() > members.size()) {
+            mMemberStates
+                    .keySet()
+                    .retainAll(members.stream().map(ApprovalDispatcher::keyOf).toList());
+        }
+    }
+
     private void handlePingResult(MemberRow member, MemberState state, boolean answered) {
         state.mPingOutstanding = false;
         mAbsentMemberRemover.recordPing(member, answered, state.mPingSentMillis);
@@ -294,8 +307,16 @@
     }
 
     private MemberState stateOf(MemberRow member) {
-        return mMemberStates.computeIfAbsent(
-                new MemberKey(member.name(), member.incarnation()), key -> new MemberState());
+        return mMemberStates.computeIfAbsent(keyOf(member), key -> new MemberState());
+    }
+
+    private static MemberKey keyOf(MemberRow member) {
+        return new MemberKey(member.name(), member.incarnation());
+    }
+
+    /** Returns the number of members whose state is kept. */
+    int memberStateCount() {
+        return mMemberStates.size();
     }
 
     private void send(ApprovalRequest request, MemberRow via, int weight) {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/ApprovalDispatcherTest.java
@@ -117,6 +117,26 @@
         assertEquals(4, mApprovals.mSent.size(), "two calls through each daemon");
     }
 
+    // Guards against an owner that keeps the state of each host that was ever replaced.
+    @Test
+    void stateOfMembersThatAreGoneIsDropped() {
+        MembersTable table = new MembersTable();
+        MemberRegistry members = members(table.as("d"));
+        members.start();
+        ApprovalDispatcher dispatcher = dispatcher(members);
+        for (int i = 0; i < 10; i++) {
+            String name = "peer" + i;
+            table.put(new MemberRow(name, "run", "127.0.0.1:" + (2 + i), 1));
+            await().until(() -> members.all().size() == 2);
+            dispatcher.pingMembers();
+            table.delete(name);
+            await().until(() -> members.all().size() == 1);
+        }
+        dispatcher.pingMembers();
+        members.stop();
+        assertTrue(dispatcher.memberStateCount() <= 1, "states: " + dispatcher.memberStateCount());
+    }
+
     // Guards against requests that wait longer than their answer would be of use.
     @Test
     void fewRequestsMayWait() {
