Count the cost of the list of members at the store

Cause: the owner saw its own removals only with its next read of the list; until then it could judge the same member again, at most once in 10 s, and its transaction was a conflict. Removals were remembered for good.

Change: a removal takes effect in the owner's list with its answer, and at most 1,000 are remembered.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/AbsentMemberRemover.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/AbsentMemberRemover.java
@@ -27,6 +27,7 @@
     static final int MIN_UNANSWERED_PINGS = 6;
 
     private static final int MAX_DOUBLINGS = 4;
+    private static final int MAX_REMEMBERED_REMOVALS = 1_000;
 
     /** Maximum number of transactions at a time. */
     private static final int MAX_OPEN_REMOVALS = 16;
@@ -94,9 +95,12 @@
 
     private void handleResult(MemberRow member, boolean removed) {
         mOpenRemovals.remove(member);
-        // Until the row is seen to be removed, or after a failure, the pings count anew.
+        // After a failure the pings count anew.
         mAbsences.remove(member);
         if (removed) {
+            if (mRemovals.size() >= MAX_REMEMBERED_REMOVALS) {
+                mRemovals.clear();
+            }
             mRemovals.merge(member, 1, Integer::sum);
         }
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
@@ -146,7 +146,7 @@
         return mReplaced;
     }
 
-    private void updateLists() {
+    private synchronized void updateLists() {
         Map<String, Listed> newest = new HashMap<>();
         for (Listed listed : mMembers.values()) {
             newest.merge(
@@ -192,6 +192,9 @@
                                     member.incarnation(),
                                     reason,
                                     result.fold(it -> it.error().message(), it -> "removed"));
+                            if (result.isRight() && mMembers.remove(member.name(), listed)) {
+                                updateLists();
+                            }
                             return result.isRight();
                         });
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/AbsentMemberRemoverTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/AbsentMemberRemoverTest.java
@@ -2,6 +2,8 @@
 
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.HashSet;
 import java.util.List;
@@ -148,6 +150,36 @@
         await().until(() -> mMembers.replaced().size() == 1);
         mRemover.removeAbsent(mNowMillis);
         awaitListed(PEERS + 1);
-        assertEquals(false, mTable.names().contains("peer7"));
+        assertFalse(mTable.names().contains("peer7"), "row of the former member");
+    }
+
+    // Guards against a cost at the store that grows faster than the hosts that come and go.
+    @Test
+    void costAtTheStoreIsLinearInTheHostsThatAreGone() {
+        for (int count : List.of(20, 40, 80, 160)) {
+            for (int i = 0; i < count; i++) {
+                mTable.put(new MemberRow(count + "-" + i, "run", count + "." + i, 1));
+            }
+            awaitListed(1 + PEERS + count);
+            int calls = mTable.calls();
+            ping(3 * AbsentMemberRemover.ABSENT_MILLIS);
+            int quietCalls = mTable.calls() - calls;
+            for (int i = 0; i < count; i++) {
+                mSilent.add(count + "-" + i);
+            }
+            int transactions = mTable.transactions();
+            while (mMembers.all().size() > 1 + PEERS) {
+                ping(2 * AbsentMemberRemover.ABSENT_MILLIS);
+            }
+            transactions = mTable.transactions() - transactions;
+            System.out.println(
+                    count
+                            + " hosts: "
+                            + quietCalls
+                            + " calls while all live, then "
+                            + transactions);
+            assertTrue(quietCalls <= 1, "calls while all live: " + quietCalls);
+            assertEquals(count, transactions, "one for each host");
+        }
     }
 }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/MembersTable.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/MembersTable.java
@@ -21,6 +21,7 @@
     private long mVersion;
     private long mHistoryStart;
     private int mTransactions;
+    private int mCalls;
 
     /** Returns the table as a daemon reaches it. */
     PartitionTable as(String daemon) {
@@ -47,10 +48,20 @@
         return List.copyOf(mRows.keySet());
     }
 
+    /** Returns the number of transactions, those that failed included. */
     synchronized int transactions() {
         return mTransactions;
     }
 
+    /** Returns the number of transactions, reads and polls. */
+    synchronized int calls() {
+        return mCalls;
+    }
+
+    private synchronized void countCall() {
+        mCalls++;
+    }
+
     /** Writes the row of a member, whatever is there. */
     void put(MemberRow row) {
         apply(
@@ -120,11 +131,13 @@
 
         @Override
         public CompletableFuture<Either<CommitFailure, CommitResult>> commit(Batch batch) {
+            countCall();
             return mSilentTo.contains(mDaemon) ? new CompletableFuture<>() : answer(apply(batch));
         }
 
         @Override
         public CompletableFuture<Either<TableError, Page>> read(Range range) {
+            countCall();
             synchronized (MembersTable.this) {
                 return answer(Either.right(page(List.copyOf(mRows.values()))));
             }
@@ -133,6 +146,7 @@
         @Override
         public CompletableFuture<Either<TableError, Page>> pollChanges(
                 String table, long after, long waitMillis) {
+            countCall();
             CompletableFuture<Either<TableError, Page>> result = new CompletableFuture<>();
             synchronized (MembersTable.this) {
                 if (after < mHistoryStart) {
