Remove a registration that takes effect late

Cause: a daemon knew the version of its row from the answer to its registration only. If an attempt without an answer takes effect after a later one, or after the removal, the daemon's removal is a conflict, and the row stays until the owner of the pools removes it. Found by reading; no caller has met it.

Change: the daemon also takes the version from the list that it follows, and removes its row again if it appears after it has left.

Test: lateRegistrationIsRemovedByTheDaemonThatLeaves, which never ends without the change, by reading (not run).

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/MemberRegistry.java
@@ -331,6 +331,8 @@
                     handleListed(new Listed(row, entry.version()));
                 } else if (!row.incarnation().equals(mSelf.incarnation())) {
                     handleRemoved(name, entry.version());
+                } else if (mRegistration.onListed(entry.version())) {
+                    removeOwnRow();
                 }
             } catch (IOException e) {
                 LOG.log(LogEvent.ROW_UNREADABLE, name, e.getMessage());
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnRegistration.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnRegistration.java
@@ -9,10 +9,22 @@
 
     /** Records that the row was written at a version of the store. */
     synchronized void onRegistered(long version) {
-        mVersion = version;
+        mVersion = Math.max(mVersion, version);
         mUnderWay = false;
     }
 
+    /**
+     * Records that this incarnation's row was read at a version: an earlier attempt to write it may
+     * take effect after the one that was answered, or after the row was removed.
+     *
+     * @return whether the row has to be removed, because the daemon has left
+     */
+    synchronized boolean onListed(long version) {
+        boolean later = version > mVersion;
+        mVersion = Math.max(mVersion, version);
+        return later && mLeaving && !mUnderWay;
+    }
+
     /** Records that the row was removed, or written by another incarnation, at a version. */
     synchronized void onRemoved(long version) {
         mRemovedVersion = Math.max(mRemovedVersion, version);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/MemberRegistryTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/MemberRegistryTest.java
@@ -111,6 +111,20 @@
         assertTrue(mTable.names().contains("b"), "row of the next incarnation");
     }
 
+    // Guards against a registration that takes effect late and outlives its daemon.
+    @Test
+    void lateRegistrationIsRemovedByTheDaemonThatLeaves() {
+        MemberRegistry stays = start("a", "a1", 1);
+        MemberRegistry leaves = start("b", "b1", 2);
+        awaitNames(stays, "a", "b");
+        await().until(leaves::isSynced);
+        mTable.put(row("b", "b1", 2));
+        leaves.leave();
+        awaitNames(stays, "a");
+        mTable.put(row("b", "b1", 2));
+        await().until(() -> mTable.names().equals(List.of("a")));
+    }
+
     // Guards against a daemon that lives and is never listed again.
     @Test
     void daemonThatLivesRegistersAgainAfterItsRemoval() {
