Log why a lost run counts as a crash of its worker

Change: the line names the loss ('leases lapsed', 'worker restarted', 'another worker uses the address') and whether the worker was listed.

Not measured: no behaviour changes.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
@@ -43,7 +43,8 @@
         List<Task> begun = lost.stream().filter(Task::mayHaveBegun).toList();
         List<Task> recent = begun.stream().filter(it -> !it.hasPassedTrial()).toList();
         boolean conclusive = loss.certain() && isSeparateTrial(recent);
-        blame(recent.isEmpty() ? begun : recent, worker, conclusive, nowMillis);
+        String evidence = "%s; listed=%s".formatted(loss.reason(), worker.mListed);
+        blame(recent.isEmpty() ? begun : recent, worker, conclusive, evidence, nowMillis);
     }
 
     /** Returns whether only one step had recent runs, and some of them were on trial. */
@@ -52,7 +53,12 @@
                 && recent.stream().map(it -> it.mStep.mKey).distinct().count() == 1;
     }
 
-    private void blame(List<Task> tasks, PoolWorker worker, boolean conclusive, long nowMillis) {
+    private void blame(
+            List<Task> tasks,
+            PoolWorker worker,
+            boolean conclusive,
+            String evidence,
+            long nowMillis) {
         for (Task task : tasks) {
             task.mCrashes++;
             Workflow workflow = task.mStep.mWorkflow;
@@ -60,8 +66,14 @@
             mState.mOutput.recordDecision(
                     task.mKey,
                     "crash suspected",
-                    "worker=%s run=%d crashes=%d suspects=%d conclusive=%s"
-                            .formatted(worker, task.mRun, task.mCrashes, tasks.size(), conclusive));
+                    "worker=%s run=%d crashes=%d suspects=%d conclusive=%s; %s"
+                            .formatted(
+                                    worker,
+                                    task.mRun,
+                                    task.mCrashes,
+                                    tasks.size(),
+                                    conclusive,
+                                    evidence));
             int limit = conclusive ? MAX_CONCLUSIVE_CRASHES : MAX_CRASHES;
             if (task.mCrashes >= limit && !workflow.mState.isFinal()) {
                 String reason =
