Add failing tests of workflows that fail after cuts

Two of three tests of LostRunsFailNoWorkflowTest fail on the current code: six cuts of 9 s of all workers, which run on and are no longer listed, end a workflow of three tasks and a gang as FAILED. The third, with a change of the owner in each cut, passes.

--- /dev/null
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/LostRunsFailNoWorkflowTest.java
@@ -0,0 +1,80 @@
+package org.hyssoprouter.internal.workflow;
+
+import static org.hyssoprouter.internal.workflow.PoolSchedulerTest.step;
+import static org.hyssoprouter.internal.workflow.PoolSchedulerTest.workflow;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Workflows whose runs are lost, but neither fail nor crash their workers, complete. */
+class LostRunsFailNoWorkflowTest {
+    private static final String WORKFLOW = "long";
+    private static final int WORKERS = 4;
+
+    /** Longer than a lease, its margins and three heartbeats of the list. */
+    private static final long CUT_MILLIS = 9_000;
+
+    private static final int CUTS = 6;
+
+    private final SimulatedPool mPool = new SimulatedPool().addQueue("plain", 1, 3, 1);
+
+    LostRunsFailNoWorkflowTest() {
+        for (int i = 0; i < WORKERS; i++) {
+            mPool.addWorker("w" + i, 8_000);
+        }
+        mPool.advance(200);
+    }
+
+    @AfterEach
+    void noInvariantWasViolated() {
+        assertEquals(List.of(), mPool.violations());
+    }
+
+    // Guards against workers that are cut off and counted as crashed.
+    @Test
+    @Tag("known-red")
+    void workflowCompletesAfterCutsInSeries() {
+        submitLong(false);
+        cutInSeries(() -> {});
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf(WORKFLOW));
+    }
+
+    @Test
+    @Tag("known-red")
+    void gangCompletesAfterCutsInSeries() {
+        submitLong(true);
+        cutInSeries(() -> {});
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf(WORKFLOW));
+    }
+
+    @Test
+    void workflowCompletesAfterCutsWithChangesOfTheOwner() {
+        submitLong(false);
+        cutInSeries(mPool::replaceOwner);
+        assertEquals(WorkflowState.COMPLETE, mPool.stateOf(WORKFLOW));
+    }
+
+    private void submitLong(boolean gang) {
+        mPool.submit(workflow(WORKFLOW, "plain", step(3, 1_000, 20_000, gang)));
+    }
+
+    /** Cuts off all workers several times; their leases expire, and they run on. */
+    private void cutInSeries(Runnable duringCut) {
+        for (int i = 0; i < CUTS; i++) {
+            mPool.advance(3_000);
+            mPool.workers().forEach(it -> it.setDisconnected(true));
+            mPool.advance(5_000);
+            mPool.workers().forEach(it -> mPool.unlistWorker(it.mId));
+            duringCut.run();
+            mPool.advance(CUT_MILLIS - 5_000);
+            mPool.workers().forEach(SimulatedWorker::expireLeases);
+            mPool.workers().forEach(it -> it.setDisconnected(false));
+            mPool.workers().forEach(it -> mPool.listAfter(SimulatedPool.HEARTBEAT_MILLIS, it));
+        }
+        mPool.advance(60_000);
+    }
+}
