Never give up a workflow for crashes under a long-running task

Cause: CrashTracker treated long-running tasks like others.

Result: LostRunsFailNoWorkflowTest.longRunningTaskStartsAgainAfterEachCrash failed before (FAILED instead of ACTIVE after eight crashes) and passes; the tests of CrashTrackerTest pass.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
@@ -14,6 +14,9 @@
  * started become suspects. A suspect runs on trial: nothing else starts on its worker until it has
  * run for a while (see {@link TrialPlacement}). A crash during the trial of a single step is
  * conclusive.
+ *
+ * <p>Long-running tasks are tried, too, but never end their workflow: they start again however
+ * their runs end.
  */
 final class CrashTracker {
     /** Time for which a run must be reported before a crash is not blamed on it any more. */
@@ -89,6 +92,9 @@
                                 begun ? "begun" : "start not confirmed",
                                 crash.unplanned() ? "not planned" : "may have left as planned",
                                 crash.worker().mListed));
+        if (task.mStep.mSpec.habits().longRunning()) {
+            return;
+        }
         int limit = crash.conclusive() ? MAX_CONCLUSIVE_CRASHES : MAX_CRASHES;
         if (task.mCrashes < limit
                 || task.mProvedCrashes.size() < MIN_PROVED_CRASHES
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/LostRunsFailNoWorkflowTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/LostRunsFailNoWorkflowTest.java
@@ -3,8 +3,11 @@
 import static org.hyssoprouter.internal.workflow.PoolSchedulerTest.step;
 import static org.hyssoprouter.internal.workflow.PoolSchedulerTest.workflow;
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import org.hyssoprouter.lib.Room;
+import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -18,6 +21,8 @@
     private static final long CUT_MILLIS = 9_000;
 
     private static final int CUTS = 6;
+    private static final int CRASHES = 8;
+    private static final Room ROOM = new Room(1_000, 1, 0);
 
     private final SimulatedPool mPool = new SimulatedPool().addQueue("plain", 1, 3, 1);
 
@@ -55,6 +60,24 @@
         assertEquals(WorkflowState.COMPLETE, mPool.stateOf(WORKFLOW));
     }
 
+    // Guards against a long-running task that is given up after crashes of its workers.
+    @Test
+    void longRunningTaskStartsAgainAfterEachCrash() {
+        StepSpec.Behavior habits = new StepSpec.Behavior(false, false, true, false, 0, "", 0);
+        StepSpec step =
+                new StepSpec(1, ROOM, 100_000, List.of(), false, StepSpec.Limits.NONE, habits);
+        mPool.submit(workflow(WORKFLOW, "plain", step));
+        for (int i = 0; i < CRASHES; i++) {
+            mPool.advance(5_000);
+            mPool.workers().stream()
+                    .filter(it -> it.hasRunOf(WORKFLOW))
+                    .forEach(SimulatedWorker::crash);
+        }
+        mPool.advance(10_000);
+        assertEquals(WorkflowState.ACTIVE, mPool.stateOf(WORKFLOW));
+        assertTrue(mPool.workers().stream().anyMatch(it -> it.hasRunOf(WORKFLOW)));
+    }
+
     private void submitLong(boolean gang) {
         mPool.submit(workflow(WORKFLOW, "plain", step(3, 1_000, 20_000, gang)));
     }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -404,6 +404,11 @@
         mDeadlineMillis = Math.max(mDeadlineMillis, deadlineMillis);
     }
 
+    /** Returns whether a task of a workflow runs here. */
+    boolean hasRunOf(String workflow) {
+        return mRuns.keySet().stream().anyMatch(it -> it.step().workflow().equals(workflow));
+    }
+
     /** Returns whether a run has ended since the last report. */
     boolean hasUnreportedEnds() {
         return mSequence > mReportedSequence;
