Judge a departure by what was known of the former incarnation

Cause: if the list names the next incarnation first, and orders may have reached it, its first report decides which runs are lost. By then the entry of the former incarnation has been replaced: neither its draining state nor the gap in the reads of the list is known any more, and the crash counts as proved.

Change: whether the former incarnation may have left as planned is decided when its successor becomes known. Of several restarts before a report, each must be unplanned.

Result: the tests of CrashProofTest pass.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
@@ -45,14 +45,14 @@
         if (!loss.certain() || worker.entry().draining()) {
             return;
         }
+        // The successor under the same identifier may have replaced the entry.
+        boolean unplanned =
+                loss.restarted()
+                        ? worker.mFormerNotLeft
+                        : mState.mWorkerList.hasNotLeft(worker, nowMillis);
         List<Task> begun = lost.stream().filter(Task::mayHaveBegun).toList();
         List<Task> recent = begun.stream().filter(it -> !it.hasPassedTrial()).toList();
-        Crash crash =
-                new Crash(
-                        worker,
-                        loss,
-                        isSeparateTrial(recent),
-                        mState.mWorkerList.hasNotLeft(worker, nowMillis));
+        Crash crash = new Crash(worker, loss, isSeparateTrial(recent), unplanned);
         for (Task task : recent.isEmpty() ? begun : recent) {
             blame(task, crash, nowMillis);
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
@@ -41,6 +41,10 @@
     private boolean begin(
             PoolWorker worker, long incarnationMillis, String source, long nowMillis) {
         long formerMillis = worker.mIncarnationMillis;
+        // Of several restarts before a report, each may have ended the runs.
+        worker.mFormerNotLeft =
+                mState.mWorkerList.hasNotLeft(worker, nowMillis)
+                        && (!worker.mAwaitsFirstReport || worker.mFormerNotLeft);
         worker.beginIncarnation(incarnationMillis, nowMillis);
         if (formerMillis == 0) {
             return false;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -61,6 +61,9 @@
     /** Owner's clock when it learned of a restart of this worker; that of the last one. */
     private long mRestartKnownMillis = Long.MIN_VALUE;
 
+    /** Whether the former incarnation has certainly not left as planned. */
+    boolean mFormerNotLeft;
+
     /** Whether runs may have reached the current incarnation, which has not reported yet. */
     boolean mAwaitsFirstReport;
 
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashProofTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashProofTest.java
@@ -111,6 +111,30 @@
         assertNotFailed();
     }
 
+    // Guards against a departure that is judged by the entry of the successor.
+    @Test
+    void successorListedBeforeItReportsThatRunIsLostDoesNotCount() {
+        for (int i = 0; i < LOSSES; i++) {
+            TaskStart run = accept(place());
+            mNowMillis += UNREAD_MILLIS;
+            listSuccessorAndReport(run);
+            assertNothingProved();
+        }
+        assertNotFailed();
+    }
+
+    @Test
+    void successorOfDrainingWorkerListedBeforeItsReportDoesNotCount() {
+        for (int i = 0; i < LOSSES; i++) {
+            TaskStart run = accept(place());
+            drain(run);
+            pass(1_000);
+            listSuccessorAndReport(run);
+            assertNothingProved();
+        }
+        assertNotFailed();
+    }
+
     @Test
     void leasesOnWorkersThatNewOwnersNeverSawListedDoNotCount() {
         for (int i = 0; i < LOSSES; i++) {
@@ -266,6 +290,23 @@
         return entry;
     }
 
+    private void drain(TaskStart run) {
+        WorkerEntry entry = entryOf(run);
+        list(
+                new WorkerEntry(
+                        entry.id(),
+                        entry.pool(),
+                        entry.address(),
+                        entry.domain(),
+                        entry.rack(),
+                        entry.labels(),
+                        entry.capacity(),
+                        true,
+                        60_000,
+                        0,
+                        entry.incarnationMillis()));
+    }
+
     /** Lets another worker take the address of a run's worker. */
     private void leave(TaskStart run, String reason) {
         WorkerEntry entry = unlist(run);
