Count the crash of a worker during a run once

Cause: a run that stays allocated after its loss is proved to be begun once more when the former incarnation's answer to its start arrives late; the next restart then counts as a second crash under the same run.

Evidence: CrashProofTest.lateAnswerToStartThatWasLostDoesNotProveAnotherCrash fails on ("expected: <1> but was: <2>"). By reading only: the answer would have to be on its way for longer than the worker needs to start again.

Result: the tests of CrashProofTest pass.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -271,8 +271,10 @@
      */
     void recordCrash(PoolWorker worker, boolean proved) {
         mCrashes++;
-        if (proved) {
-            mProvedCrashes.add("%s in run %d".formatted(worker, mRun));
+        String crash = "%s in run %d".formatted(worker, mRun);
+        // The former incarnation's answer to the start may arrive after the loss.
+        if (proved && !mProvedCrashes.contains(crash)) {
+            mProvedCrashes.add(crash);
         }
         // The next incarnation may still be ordered to stop this run, but has not begun it.
         mBegun = false;
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashProofTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashProofTest.java
@@ -184,6 +184,20 @@
         assertNotFailed();
     }
 
+    // Guards against an answer of the former incarnation that arrives after the loss.
+    @Test
+    void lateAnswerToStartThatWasLostDoesNotProveAnotherCrash() {
+        TaskStart run = accept(place());
+        mScheduler.markStartUnanswered(run);
+        for (int i = 0; i < LOSSES; i++) {
+            pass(STEP_MILLIS);
+            restartUnderIdentifier(run);
+            accept(run);
+            assertEquals(1, provedCrashes());
+        }
+        assertNotFailed();
+    }
+
     @Test
     void lapsesBeforeOneCrashDoNotCount() {
         for (int i = 0; i < 2; i++) {
