--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -26,7 +26,7 @@
     private static final long EPOCH_MILLIS = 1_000_000;
 
     /** Time from a crash to the start of the next incarnation. */
-    private static final long DOWN_MILLIS = 3_000;
+    static final long DOWN_MILLIS = 3_000;
 
     /** Time after which a task that crashes its worker does so. */
     private static final long CRASH_DELAY_MILLIS = 10;
@@ -213,7 +213,7 @@
     private void crashDuring(SimulatedRun run) {
         if (run.equals(mRuns.get(run.order().task()))) {
             mPool.deadlyTasks().countCrash(run.order().task());
-            crash();
+            crash(mPool.deadlyTasks().downMillis(), SimulatedPool.HEARTBEAT_MILLIS);
         }
     }
 
