Fail no workflow for its attempts while their limit is unknown

Cause: without a policy of the queue, RunTracker.recordFailure took 1 for MaxAttempts. An owner has no policy if the route was removed before its start, or if its configuration is older than the route. The class of fault: not knowing is taken for a fault of the task.

Change: AttemptLimits counts failed runs; without a policy no number of them ends the workflow. Long-running steps have no limit, as before.

Ruled out: the check in PoolScheduler.configure only. It misses a task whose run is active then and lapses later.

--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/AttemptLimits.java
@@ -0,0 +1,68 @@
+package org.hyssoprouter.internal.workflow;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.hyssoprouter.lib.workflow.WorkflowState;
+
+/**
+ * Counts failed runs, and ends workflows with a task or a gang that has failed as often as the
+ * policy of the queue allows. Without a policy, failed runs are counted but end no workflow: the
+ * limit is unknown, and nothing is placed. Long-running steps have no limit.
+ */
+final class AttemptLimits {
+    private final PoolState mState;
+
+    AttemptLimits(PoolState state) {
+        mState = state;
+    }
+
+    /** Counts a failed run. Returns whether the task or its gang has exhausted its attempts. */
+    boolean recordFailure(Task task, int run) {
+        Step step = task.mStep;
+        if (step.mSpec.habits().longRunning()) {
+            return false;
+        }
+        step.mHasFailures = true;
+        if (!step.mSpec.gang()) {
+            task.mFailures++;
+        } else if (step.mLastFailedGangRun != run) {
+            step.mLastFailedGangRun = run;
+            step.mGangFailures++;
+        }
+        return isExhausted(task);
+    }
+
+    /**
+     * Ends the workflows with a waiting task that may not start again. Attempts are also used up
+     * while the policy is unknown, and a configuration may lower the limit.
+     */
+    void endExhausted(long nowMillis) {
+        List<Task> exhausted = new ArrayList<>();
+        for (Step step : mState.mWaitingSteps) {
+            if (step.mHasFailures) {
+                step.mTasks.stream()
+                        .filter(it -> it.mPhase == Task.Phase.WAITING && isExhausted(it))
+                        .findFirst()
+                        .ifPresent(exhausted::add);
+            }
+        }
+        exhausted.forEach(task -> end(task, nowMillis));
+    }
+
+    /** Ends the workflow of a task that has exhausted its attempts. */
+    void end(Task task, long nowMillis) {
+        mState.finishWorkflow(
+                task.mStep.mWorkflow,
+                WorkflowState.FAILED,
+                task.mKey + " exhausted its attempts",
+                nowMillis);
+    }
+
+    private boolean isExhausted(Task task) {
+        Step step = task.mStep;
+        int failures = step.mSpec.gang() ? step.mGangFailures : task.mFailures;
+        return !step.mSpec.habits().longRunning()
+                && mState.policyOf(step.mWorkflow)
+                        .exists(policy -> failures >= policy.maxAttempts());
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -36,6 +36,7 @@
     private static final long DELIVERY_MILLIS = 50;
 
     private final PoolState mState;
+    private final AttemptLimits mAttempts;
     private final RunTracker mRuns;
     private final LostRuns mLostRuns;
     private final PeriodicChecks mPeriodicChecks;
@@ -58,7 +59,8 @@
         mState = new PoolState(limits, order);
         WorkerHealthTracker health = new WorkerHealthTracker(mState);
         mLostRuns = new LostRuns(mState);
-        mRuns = new RunTracker(mState, health, mLostRuns);
+        mAttempts = new AttemptLimits(mState);
+        mRuns = new RunTracker(mState, health, mLostRuns, mAttempts);
         mPeriodicChecks = new PeriodicChecks(mState, mLostRuns, health, nowMillis);
         mOwnershipStartMillis = nowMillis;
     }
@@ -387,6 +389,7 @@
 
     /** Places waiting tasks for which workers have room, the most urgent first, within limits. */
     public void place(RoundLimits limits, long nowMillis) {
+        mAttempts.endExhausted(nowMillis);
         new PlacementRound(mState, limits, nowMillis).run();
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -4,7 +4,6 @@
 import java.util.List;
 import java.util.Map;
 import org.hyssoprouter.lib.workflow.EndKind;
-import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.StartOutcome;
 import org.hyssoprouter.lib.workflow.TaskKey;
@@ -23,11 +22,17 @@
     private final PoolState mState;
     private final WorkerHealthTracker mHealth;
     private final LostRuns mLostRuns;
+    private final AttemptLimits mAttempts;
 
-    RunTracker(PoolState state, WorkerHealthTracker health, LostRuns lostRuns) {
+    RunTracker(
+            PoolState state,
+            WorkerHealthTracker health,
+            LostRuns lostRuns,
+            AttemptLimits attempts) {
         mState = state;
         mHealth = health;
         mLostRuns = lostRuns;
+        mAttempts = attempts;
     }
 
     /**
@@ -263,16 +268,11 @@
     /** Requeues the task of a run that ended before completion, or fails its workflow. */
     private void handleIncompleteEnd(
             Task task, PoolWorker worker, RunReport.Ended end, long nowMillis) {
-        Workflow workflow = task.mStep.mWorkflow;
         if (end.kind() == EndKind.FAILED) {
             mHealth.recordFailure(worker, task, nowMillis);
-            if (recordFailure(task, end.run())) {
+            if (mAttempts.recordFailure(task, end.run())) {
                 task.releaseWorker(nowMillis);
-                mState.finishWorkflow(
-                        workflow,
-                        WorkflowState.FAILED,
-                        task.mKey + " exhausted its attempts",
-                        nowMillis);
+                mAttempts.end(task, nowMillis);
                 return;
             }
         }
@@ -280,26 +280,6 @@
         mState.requeue(task, nowMillis);
     }
 
-    /** Counts a failed run. Returns whether the task or its gang has exhausted its attempts. */
-    private boolean recordFailure(Task task, int run) {
-        Step step = task.mStep;
-        if (step.mSpec.habits().longRunning()) {
-            return false;
-        }
-        int failures;
-        if (step.mSpec.gang()) {
-            if (step.mLastFailedGangRun != run) {
-                step.mLastFailedGangRun = run;
-                step.mGangFailures++;
-            }
-            failures = step.mGangFailures;
-        } else {
-            failures = ++task.mFailures;
-        }
-        int limit = mState.policyOf(step.mWorkflow).map(QueuePolicy::maxAttempts).getOrElse(1);
-        return failures >= limit;
-    }
-
     /** Marks a task, or its whole gang, as done and queues the steps that depend on it. */
     private void completeTask(Task task, boolean isCurrentRun, long nowMillis) {
         Step step = task.mStep;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -30,6 +30,9 @@
     /** Cause for which no task was stopped for this step last, or null. */
     OverloadCounts.@Nullable Cause mForgonePreemption;
 
+    /** Whether a run of a task or of the gang was counted as failed. */
+    boolean mHasFailures;
+
     int mGangFailures;
 
     /** Number of the last gang run that was counted as failed; each counts once, not per member. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
@@ -47,6 +47,8 @@
 
     private void restoreStep(Step step, WorkflowRow.StepRow row) {
         int urgency = mState.policyOf(step.mWorkflow).map(QueuePolicy::priority).getOrElse(0);
+        step.mHasFailures =
+                row.gangFailures() > 0 || row.tasks().stream().anyMatch(it -> it.failures() > 0);
         step.mGangFailures = row.gangFailures();
         step.mLastFailedGangRun = row.lastFailedRun();
         step.mGangCheckpoint = row.checkpoint();
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/TestPools.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/TestPools.java
@@ -26,7 +26,23 @@
 
     /** Returns the scheduler of a new owner with workers that have not reported to it yet. */
     static PoolScheduler newOwner(long nowMillis, String... workers) {
+        PoolScheduler scheduler = newOwnerWithoutQueue(nowMillis, workers);
+        scheduler.configure(config(2));
+        return scheduler;
+    }
+
+    /** Returns the scheduler of a new owner whose configuration lacks the queue. */
+    static PoolScheduler newOwnerWithoutQueue(long nowMillis, String... workers) {
         PoolScheduler scheduler = new PoolScheduler(SimulatedPool.LIMITS, nowMillis);
+        scheduler.configure(new PoolConfig(1, List.of(), List.of(SimulatedPool.POOL)));
+        for (String id : workers) {
+            scheduler.updateWorker(worker(id, 1), nowMillis);
+        }
+        return scheduler;
+    }
+
+    /** Returns a configuration with the queue. */
+    static PoolConfig config(int maxAttempts) {
         QueuePolicy queue =
                 new QueuePolicy(
                         QUEUE,
@@ -34,14 +50,10 @@
                         "/batch/",
                         SimulatedPool.POOL,
                         0,
-                        2,
+                        maxAttempts,
                         new QueuePolicy.Objective(2, 1_000),
                         Option.none());
-        scheduler.configure(new PoolConfig(1, List.of(queue), List.of(SimulatedPool.POOL)));
-        for (String id : workers) {
-            scheduler.updateWorker(worker(id, 1), nowMillis);
-        }
-        return scheduler;
+        return new PoolConfig(1, List.of(queue), List.of(SimulatedPool.POOL));
     }
 
     /** Returns the entry of a worker with four cores. */
