Name failures, limit and last worker in the reason of a failed workflow

Change: the durable reason names them with the last worker and run; E5005 'failure counted' names each counted end with worker, run and count. For a queue without a policy both say so. The second member of a failed gang run is not counted and has no line. No decision changes.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/AttemptLimits.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/AttemptLimits.java
@@ -25,9 +25,11 @@
         step.mHasFailures = true;
         if (!step.mSpec.gang()) {
             task.mFailures++;
+            logFailure(task, run);
         } else if (step.mLastFailedGangRun != run) {
             step.mLastFailedGangRun = run;
             step.mGangFailures++;
+            logFailure(task, run);
         }
         return isExhausted(task);
     }
@@ -46,21 +48,44 @@
                         .ifPresent(exhausted::add);
             }
         }
-        exhausted.forEach(task -> end(task, nowMillis));
+        exhausted.forEach(task -> end(task, "", nowMillis));
     }
 
-    /** Ends the workflow of a task that has exhausted its attempts. */
-    void end(Task task, long nowMillis) {
+    /**
+     * Ends the workflow of a task that has exhausted its attempts.
+     *
+     * @param lastRun what is known of the last failed run, for the reason
+     */
+    void end(Task task, String lastRun, long nowMillis) {
         mState.finishWorkflow(
                 task.mStep.mWorkflow,
                 WorkflowState.FAILED,
-                task.mKey + " exhausted its attempts",
+                "%s exhausted its attempts (%s)%s".formatted(task.mKey, describe(task), lastRun),
                 nowMillis);
     }
 
+    private void logFailure(Task task, int run) {
+        mState.mOutput.recordDecision(
+                task.mKey,
+                "failure counted",
+                "worker=%s run=%d %s".formatted(task.mWorker, run, describe(task)));
+    }
+
+    /** Returns the number of failed runs of a task or its gang, and the limit of its queue. */
+    private String describe(Task task) {
+        int failures = failuresOf(task);
+        return mState.policyOf(task.mStep.mWorkflow)
+                .map(policy -> "failures=%d of %d".formatted(failures, policy.maxAttempts()))
+                .getOrElse("failures=%d, the queue has no policy".formatted(failures));
+    }
+
+    private static int failuresOf(Task task) {
+        return task.mStep.mSpec.gang() ? task.mStep.mGangFailures : task.mFailures;
+    }
+
     private boolean isExhausted(Task task) {
         Step step = task.mStep;
-        int failures = step.mSpec.gang() ? step.mGangFailures : task.mFailures;
+        int failures = failuresOf(task);
         return !step.mSpec.habits().longRunning()
                 && mState.policyOf(step.mWorkflow)
                         .exists(policy -> failures >= policy.maxAttempts());
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -272,7 +272,7 @@
             mHealth.recordFailure(worker, task, nowMillis);
             if (mAttempts.recordFailure(task, end.run())) {
                 task.releaseWorker(nowMillis);
-                mAttempts.end(task, nowMillis);
+                mAttempts.end(task, ", last on %s in run %d".formatted(worker, end.run()), nowMillis);
                 return;
             }
         }
