Log what the owner knew of the worker list when a run is lost

Change: both lines end with whether the worker is listed, the age of the last read of the list and the time since the start of the ownership. No line is added, and no decision changes.

Result: two more tests of FailureExplanationTest.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
@@ -81,7 +81,7 @@
         mState.mOutput.recordDecision(
                 task.mKey,
                 "crash suspected",
-                "worker=%s run=%d crashes=%d proved=%d conclusive=%s; %s, %s, %s, listed=%s"
+                "worker=%s run=%d crashes=%d proved=%d conclusive=%s; %s, %s, %s; %s"
                         .formatted(
                                 crash.worker(),
                                 task.mRun,
@@ -91,7 +91,7 @@
                                 crash.loss().reason(),
                                 begun ? "begun" : "start not confirmed",
                                 crash.unplanned() ? "not planned" : "may have left as planned",
-                                crash.worker().mListed));
+                                mState.describeKnowledge(crash.worker(), nowMillis)));
         if (task.mStep.mSpec.habits().longRunning()) {
             return;
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
@@ -79,9 +79,13 @@
             mState.mOutput.recordDecision(
                     task.mKey,
                     "run lost",
-                    "worker=%s run=%d %s; %s"
+                    "worker=%s run=%d %s; %s; %s"
                             .formatted(
-                                    worker, task.mRun, loss.reason(), describe(task, nowMillis)));
+                                    worker,
+                                    task.mRun,
+                                    loss.reason(),
+                                    describe(task, nowMillis),
+                                    mState.describeKnowledge(worker, nowMillis)));
             mState.abortGang(task, "member lost", nowMillis);
             if (loss.restarted() && task.mayStartLate()) {
                 // Once the new incarnation has acknowledged a stop, it rejects a late start.
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -56,7 +56,7 @@
             SchedulerLimits limits,
             long nowMillis,
             Function<DurationEstimator, PlacementOrder> order) {
-        mState = new PoolState(limits, order);
+        mState = new PoolState(limits, nowMillis, order);
         WorkerHealthTracker health = new WorkerHealthTracker(mState);
         mLostRuns = new LostRuns(mState);
         mAttempts = new AttemptLimits(mState);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -44,6 +44,8 @@
     final WorkspaceUsage mUsage = new WorkspaceUsage();
     final WorkerListReads mWorkerList = new WorkerListReads();
 
+    private final long mOwnedMillis;
+
     /** Recent time from the placement of a run to its start order: a slowly decaying maximum. */
     private long mStartDelayMillis = INITIAL_START_DELAY_MILLIS;
 
@@ -52,8 +54,17 @@
     /** Room that a task of a workspace uses while it runs. */
     record WorkspaceRoom(String workspace, Room room) {}
 
-    PoolState(SchedulerLimits limits, Function<DurationEstimator, PlacementOrder> order) {
+    /**
+     * Creates a state without workflows and workers.
+     *
+     * @param ownedMillis start of the ownership, in milliseconds
+     */
+    PoolState(
+            SchedulerLimits limits,
+            long ownedMillis,
+            Function<DurationEstimator, PlacementOrder> order) {
         mLimits = limits;
+        mOwnedMillis = ownedMillis;
         mProgress = new ProgressLearner(limits.learning(), mOutput);
         mOrder = order.apply(mDurations);
     }
@@ -101,6 +112,15 @@
                 .getOrElse(Long.MAX_VALUE);
     }
 
+    /** Returns what the owner knows of the worker list, for the log. */
+    String describeKnowledge(PoolWorker worker, long nowMillis) {
+        return "listed=%s, %s, owner for %d ms"
+                .formatted(
+                        worker.mListed,
+                        mWorkerList.describeAge(nowMillis),
+                        nowMillis - mOwnedMillis);
+    }
+
     /** Returns the workspace and the room of a task, or none if its workflow is unknown. */
     Option<WorkspaceRoom> roomOf(TaskKey key) {
         Workflow workflow = mWorkflows.get(key.step().workflow());
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerListReads.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerListReads.java
@@ -33,6 +33,13 @@
         return worker.mLastEntryKnown && !worker.entry().draining() && isRecent(nowMillis);
     }
 
+    /** Returns the age of the last read, for the log. */
+    String describeAge(long nowMillis) {
+        return mLastReadMillis == NEVER
+                ? "list not read"
+                : "list read %d ms ago".formatted(nowMillis - mLastReadMillis);
+    }
+
     private boolean isRecent(long nowMillis) {
         return mLastReadMillis != NEVER && nowMillis - mLastReadMillis <= MAX_GAP_MILLIS;
     }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/FailureExplanationTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/FailureExplanationTest.java
@@ -62,6 +62,42 @@
         assertEquals(List.of(), inputs("failure counted"));
     }
 
+    @Test
+    void lostRunTellsWhatTheOwnerKnewOfTheWorker() {
+        submit(1, false);
+        start(100);
+        WorkflowRow row = mScheduler.row(WORKFLOW).get();
+        mScheduler = TestPools.newOwner(1_000, WORKER);
+        mScheduler.restoreWorkflow(workflow(1, false), row, 0, 1_000);
+        mScheduler.retainListed(List.of(), 1_500);
+        long lapsedMillis = 1_001 + SimulatedPool.LIMITS.leaseExpiryMillis();
+        mScheduler.tick(lapsedMillis, lapsedMillis);
+        assertEquals(
+                List.of(
+                        "worker=w run=1 leases lapsed; INHERITED for %d ms, start sent,"
+                                        .formatted(lapsedMillis - 1_000)
+                                + " not listed by this incarnation; listed=false, list read"
+                                + " %d ms ago, owner for %d ms"
+                                        .formatted(lapsedMillis - 1_500, lapsedMillis - 1_000)),
+                inputs("run lost"));
+    }
+
+    @Test
+    void suspectedCrashTellsWhatTheOwnerKnewOfTheWorker() {
+        submit(1, false);
+        TaskStart start = start(100);
+        RunReport.Running running = new RunReport.Running(start.task(), start.run(), "", 10, 0);
+        mScheduler.handleReport(
+                WORKER, new RunReport(200, 1, List.of(running), List.of()), 199, 200);
+        mScheduler.updateWorker(TestPools.worker(WORKER, 2), 300);
+        assertEquals(
+                List.of(
+                        "worker=w run=1 crashes=1 proved=0 conclusive=false; worker restarted,"
+                                + " begun, may have left as planned; listed=true, list not read,"
+                                + " owner for 300 ms"),
+                inputs("crash suspected"));
+    }
+
     private void submit(int tasks, boolean gang) {
         mScheduler.addWorkflow(workflow(tasks, gang), 50);
     }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/ObjectiveOrderTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/ObjectiveOrderTest.java
@@ -15,7 +15,7 @@
     /** Objective of the workflows: 2 x 1,000 + 500 ms. */
     private static final QueuePolicy.Objective OBJECTIVE = new QueuePolicy.Objective(2, 500);
 
-    private final PoolState mState = new PoolState(SimulatedPool.LIMITS, ObjectiveOrder::new);
+    private final PoolState mState = new PoolState(SimulatedPool.LIMITS, 0, ObjectiveOrder::new);
 
     private QueuePolicy queue(String name, int priority) {
         QueuePolicy queue =
