Count lost runs and failed workflows by cause

Change: hyssop_runs_lost_total by cause (LAPSED, RESTARTED, ADDRESS_TAKEN, LEFT) and hyssop_workflows_failed_total by cause (ATTEMPTS, CRASHES). The cause of a loss is an enumeration, which also gives the text of E5005 'run lost'; the texts are unchanged.

Result: DecisionLoggerTest, 4 tests; CrashTrackerTest, LostRunsFailNoWorkflowTest, WorkerRestartTest, FailureExplanationTest and PlatformDaemonTest#workflowThatCrashesWorkersFailsAndIsExplained pass.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
@@ -87,6 +87,16 @@
         counter("hyssop.workflows.given.up", "queue", mQueueLabels.limit(queue)).increment();
     }
 
+    /** Counts runs that were lost with their worker, by cause. */
+    public void countLostRuns(String cause, int count) {
+        counter("hyssop.runs.lost", "cause", cause).increment(count);
+    }
+
+    /** Counts workflows that have failed, by cause. */
+    public void countFailedWorkflows(String cause, int count) {
+        counter("hyssop.workflows.failed", "cause", cause).increment(count);
+    }
+
     /** Counts a pair of kinds of tasks that was believed to interfere, or forgotten. */
     public void countInterferenceChange(String change) {
         counter("hyssop.interference.changes", "change", change).increment();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/DecisionLogger.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/DecisionLogger.java
@@ -21,6 +21,9 @@
     void log(SchedulerOutput output) {
         output.takeDecisions().forEach(this::logDecision);
         output.takeGivenUp().forEach(this::logGivenUp);
+        output.takeLostRuns().forEach((cause, count) -> mMeters.countLostRuns(cause.name(), count));
+        output.takeFailures()
+                .forEach((cause, count) -> mMeters.countFailedWorkflows(cause.name(), count));
         output.takeBelieved().forEach(this::logBelieved);
         output.takeForgotten().forEach(this::logForgotten);
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -15,6 +15,7 @@
 import org.hyssoprouter.internal.workflow.InterferencePair;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.internal.workflow.RoundLimits;
+import org.hyssoprouter.internal.workflow.RunLossCause;
 import org.hyssoprouter.internal.workflow.SchedulerOutput;
 import org.hyssoprouter.internal.workflow.WorkflowRow;
 import org.hyssoprouter.lib.workflow.PoolConfig;
@@ -382,7 +383,7 @@
 
         @Override
         public void onDeparted(WorkerEntry worker) {
-            mScheduler.handleWorkerLeft(worker, "worker has left", mClock.millis());
+            mScheduler.handleWorkerLeft(worker, RunLossCause.LEFT, mClock.millis());
             scheduleRound();
         }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkerPoller.java
@@ -9,6 +9,7 @@
 import org.hyssoprouter.daemon.ownership.SerialExecutor;
 import org.hyssoprouter.errors.CallError;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.internal.workflow.RunLossCause;
 import org.hyssoprouter.internal.workflow.SchedulerLimits;
 import org.hyssoprouter.lib.workflow.RunReport;
 import org.hyssoprouter.lib.workflow.WorkerEntry;
@@ -239,7 +240,7 @@
 
     private void handleFailure(WorkerEntry worker, PollState poll, CallError error) {
         if (error.kind() == CallError.Kind.GONE) {
-            mScheduler.handleWorkerLeft(worker, error.message(), mClock.millis());
+            mScheduler.handleWorkerLeft(worker, RunLossCause.ADDRESS_TAKEN, mClock.millis());
             mListener.onReportHandled();
         }
         if (!poll.mUnresponsive) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/AttemptLimits.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/AttemptLimits.java
@@ -57,6 +57,7 @@
      * @param lastRun what is known of the last failed run, for the reason
      */
     void end(Task task, String lastRun, long nowMillis) {
+        mState.mOutput.addFailure(FailureCause.ATTEMPTS);
         mState.finishWorkflow(
                 task.mStep.mWorkflow,
                 WorkflowState.FAILED,
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
@@ -74,6 +74,7 @@
 
     private void handle(PoolWorker worker, List<Task> tasks, WorkerLoss loss, long nowMillis) {
         mCrashes.recordLoss(worker, tasks, loss, nowMillis);
+        mState.mOutput.addLostRuns(loss.cause(), tasks.size());
         for (Task task : tasks) {
             task.mStep.mApprovals.dropTicket(worker.mId);
             mState.mOutput.recordDecision(
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
@@ -79,7 +79,7 @@
                 nowMillis - leasedMillis > mState.mLimits.leaseExpiryMillis();
         if (neverReported ? previousLeasesExpired : worker.mClock.allLeasesExpired(nowMillis)) {
             worker.releaseUnallocated();
-            mLostRuns.handleAll(worker, WorkerLoss.presumed("leases lapsed"), nowMillis);
+            mLostRuns.handleAll(worker, WorkerLoss.presumed(RunLossCause.LAPSED), nowMillis);
             return;
         }
         mDrainer.stopUnfinishableRuns(worker, nowMillis);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -141,9 +141,9 @@
      * Does nothing if the identifier belongs to a later incarnation by now.
      *
      * @param entry last listed entry of the incarnation
-     * @param reason reason of the departure, for the log
+     * @param cause how the incarnation has ended
      */
-    public void handleWorkerLeft(WorkerEntry entry, String reason, long nowMillis) {
+    public void handleWorkerLeft(WorkerEntry entry, RunLossCause cause, long nowMillis) {
         PoolWorker worker = mState.mWorkers.get(entry.id());
         boolean sameIncarnation =
                 worker != null
@@ -152,7 +152,7 @@
         if (worker != null && sameIncarnation) {
             worker.mListed = false;
             worker.releaseUnallocated();
-            mLostRuns.handleAll(worker, WorkerLoss.ended(reason), nowMillis);
+            mLostRuns.handleAll(worker, WorkerLoss.ended(cause), nowMillis);
         }
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/SchedulerOutput.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/SchedulerOutput.java
@@ -1,8 +1,10 @@
 package org.hyssoprouter.internal.workflow;
 
 import java.util.ArrayList;
+import java.util.EnumMap;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.hyssoprouter.lib.workflow.ApprovalRequest;
 import org.hyssoprouter.lib.workflow.TaskStart;
@@ -24,6 +26,8 @@
     private final List<GivenUp> mGivenUp = new ArrayList<>();
     private final List<InterferencePair> mBelieved = new ArrayList<>();
     private final List<InterferencePair> mForgotten = new ArrayList<>();
+    private final Map<RunLossCause, Integer> mLostRuns = new EnumMap<>(RunLossCause.class);
+    private final Map<FailureCause, Integer> mFailures = new EnumMap<>(FailureCause.class);
     private final Set<String> mChangedWorkflows = new LinkedHashSet<>();
 
     /**
@@ -86,6 +90,19 @@
 
     void addGivenUp(Workflow workflow, String reason) {
         mGivenUp.add(new GivenUp(workflow.id(), workflow.mSpec.queue(), reason));
+        addFailure(FailureCause.CRASHES);
+    }
+
+    /** Counts runs that were lost with their worker. */
+    void addLostRuns(RunLossCause cause, int count) {
+        if (count > 0) {
+            mLostRuns.merge(cause, count, Integer::sum);
+        }
+    }
+
+    /** Counts a workflow that has failed. */
+    void addFailure(FailureCause cause) {
+        mFailures.merge(cause, 1, Integer::sum);
     }
 
     void addBelieved(InterferencePair pair) {
@@ -111,6 +128,16 @@
         return take(mGivenUp);
     }
 
+    /** Removes and returns the numbers of lost runs by cause; without those that are 0. */
+    public Map<RunLossCause, Integer> takeLostRuns() {
+        return take(mLostRuns, new EnumMap<>(RunLossCause.class));
+    }
+
+    /** Removes and returns the numbers of failed workflows by cause; without those that are 0. */
+    public Map<FailureCause, Integer> takeFailures() {
+        return take(mFailures, new EnumMap<>(FailureCause.class));
+    }
+
     /** Removes and returns the start orders. */
     public List<TaskStart> takeStarts() {
         return take(mStarts);
@@ -143,4 +170,10 @@
         list.clear();
         return taken;
     }
+
+    private static <K> Map<K, Integer> take(Map<K, Integer> counts, Map<K, Integer> taken) {
+        taken.putAll(counts);
+        counts.clear();
+        return taken;
+    }
 }
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -175,7 +175,7 @@
 
     /** Notifies the scheduler that an incarnation of a worker has ended. */
     void reportWorkerLeft(WorkerEntry entry) {
-        mScheduler.handleWorkerLeft(entry, "left", mNowMillis);
+        mScheduler.handleWorkerLeft(entry, RunLossCause.LEFT, mNowMillis);
         processOutput();
     }
 
