Log whether a worker that has ended was listed

What operators saw: 'run lost' and 'crash suspected' of a worker whose address another one uses always said listed=false, also for a listed worker.

Cause: handleWorkerLeft marked the worker as unlisted before its losses were logged.

Change: it does so afterwards. Nothing else that the loss calls reads the mark.

Result: FailureExplanationTest.lossOfListedWorkerIsLoggedAsSuch failed before (listed=false) and passes; the tests of org.hyssoprouter pass (190 in its reports).

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -150,9 +150,9 @@
                         && worker.mIncarnationMillis == entry.incarnationMillis()
                         && worker.entry().address().equals(entry.address());
         if (worker != null && sameIncarnation) {
-            worker.mListed = false;
             worker.releaseUnallocated();
             mLostRuns.handleAll(worker, WorkerLoss.ended(cause), nowMillis);
+            worker.mListed = false;
         }
     }
 
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/FailureExplanationTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/FailureExplanationTest.java
@@ -1,6 +1,7 @@
 package org.hyssoprouter.internal.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
 import org.hyssoprouter.lib.workflow.EndKind;
@@ -82,6 +83,16 @@
                 inputs("run lost"));
     }
 
+    @Test
+    void lossOfListedWorkerIsLoggedAsSuch() {
+        submit(1, false);
+        start(100);
+        mScheduler.handleWorkerLeft(TestPools.worker(WORKER, 1), RunLossCause.ADDRESS_TAKEN, 300);
+        String inputs = inputs("run lost").get(0);
+        assertTrue(inputs.contains(" another worker uses the address; "), inputs);
+        assertTrue(inputs.endsWith("; listed=true, list not read, owner for 300 ms"), inputs);
+    }
+
     @Test
     void suspectedCrashTellsWhatTheOwnerKnewOfTheWorker() {
         submit(1, false);
