Prove a crash under a new owner only if the run has begun

Cause: a new owner took each inherited run for begun.

Change: an inherited run counts as begun only if its row says so or a report lists it. The row of a suspect is written once more when its start is accepted, so that crashes are proved over changes of the owner, too; other rows cost nothing more.

Ruled out: to take no inherited run for begun without this write.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -145,11 +145,7 @@
      */
     public void handleWorkerLeft(WorkerEntry entry, RunLossCause cause, long nowMillis) {
         PoolWorker worker = mState.mWorkers.get(entry.id());
-        boolean sameIncarnation =
-                worker != null
-                        && worker.mIncarnationMillis == entry.incarnationMillis()
-                        && worker.entry().address().equals(entry.address());
-        if (worker != null && sameIncarnation) {
+        if (worker != null && worker.isIncarnationOf(entry)) {
             worker.releaseUnallocated();
             mLostRuns.handleAll(worker, WorkerLoss.ended(cause), nowMillis);
             worker.mListed = false;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolWorker.java
@@ -124,6 +124,12 @@
                 && !mFormerIncarnations.contains(incarnationMillis);
     }
 
+    /** Returns whether an entry describes the current incarnation. */
+    boolean isIncarnationOf(WorkerEntry entry) {
+        return mIncarnationMillis == entry.incarnationMillis()
+                && mEntry.address().equals(entry.address());
+    }
+
     /** Makes an incarnation the current one and records its predecessor. */
     void beginIncarnation(long incarnationMillis, long nowMillis) {
         mFormerIncarnations.add(mIncarnationMillis);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -54,6 +54,10 @@
         }
         if (outcome == StartOutcome.ACCEPTED) {
             task.markBegun();
+            if (task.isSuspect()) {
+                // The next owner must know that the run has begun if its worker crashes.
+                mState.mOutput.markChanged(task.mStep.mWorkflow);
+            }
             handleAcceptedStart(task, nowMillis);
             return true;
         }
@@ -272,7 +276,8 @@
             mHealth.recordFailure(worker, task, nowMillis);
             if (mAttempts.recordFailure(task, end.run())) {
                 task.releaseWorker(nowMillis);
-                mAttempts.end(task, ", last on %s in run %d".formatted(worker, end.run()), nowMillis);
+                mAttempts.end(
+                        task, ", last on %s in run %d".formatted(worker, end.run()), nowMillis);
                 return;
             }
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -189,7 +189,6 @@
         beginRun(mRun, worker, nowMillis);
         markStartSent(nowMillis);
         mInherited = true;
-        mBegun = true;
         setPhase(Phase.INHERITED, nowMillis);
     }
 
@@ -257,8 +256,8 @@
     }
 
     /**
-     * Returns whether the worker has begun the current run. A former owner's run counts as begun:
-     * its start was durable before it was sent.
+     * Returns whether the worker has begun the current run. A former owner may not have sent the
+     * start of its run, unless its row says that the run has begun.
      */
     boolean hasBegun() {
         return mBegun;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
@@ -67,6 +67,9 @@
             if (counts && !taskRow.worker().isEmpty()) {
                 PoolWorker worker = restoredWorker(taskRow.worker());
                 task.inheritRun(worker, mNowMillis);
+                if (taskRow.begun()) {
+                    task.markBegun();
+                }
                 task.mUrgency = urgency;
                 worker.allocate(task, WorkerSelector.requiredRoom(step.mSpec));
             }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
@@ -59,6 +59,8 @@
      * @param crashes number of crashes of workers that runs of the task may have caused
      * @param provedCrashes workers among these that have certainly crashed while a run of the task
      *     was active, with the number of the run
+     * @param begun whether the worker is known to have begun the last run; as a rule, known late
+     *     unless the task is suspected of crashes
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     public record TaskRow(
@@ -69,7 +71,8 @@
             String worker,
             String checkpoint,
             int crashes,
-            List<String> provedCrashes) {
+            List<String> provedCrashes,
+            boolean begun) {
         /** Replaces the crashes that rows of an earlier release lack. */
         public TaskRow {
             provedCrashes = Objects.requireNonNullElse(provedCrashes, List.of());
@@ -124,7 +127,8 @@
                                 worker == null ? "" : worker.mId,
                                 step.mSpec.gang() ? "" : task.mCheckpoint,
                                 task.mCrashes,
-                                List.copyOf(task.mProvedCrashes)));
+                                List.copyOf(task.mProvedCrashes),
+                                task.hasBegun()));
             }
         }
         return rows;
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashProofTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/CrashProofTest.java
@@ -15,7 +15,6 @@
 import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** A workflow fails only after crashes of workers under its task that are certain. */
@@ -59,7 +58,7 @@
             assertNotFailed();
             TaskStart run = begin();
             pass(2_000);
-            leave(run, "another worker uses the address");
+            leave(run);
         }
         assertEquals(WorkflowState.FAILED, state());
     }
@@ -69,7 +68,7 @@
         for (int i = 0; i < LOSSES; i++) {
             TaskStart run = begin();
             mNowMillis += UNREAD_MILLIS;
-            leave(run, "another worker uses the address");
+            leave(run);
             assertNothingProved();
         }
         assertNotFailed();
@@ -83,7 +82,7 @@
             mNowMillis += UNREAD_MILLIS;
             readList();
             pass(400);
-            mScheduler.handleWorkerLeft(entry, "another worker uses the address", mNowMillis);
+            mScheduler.handleWorkerLeft(entry, RunLossCause.ADDRESS_TAKEN, mNowMillis);
             addWorker();
             assertNothingProved();
         }
@@ -218,7 +217,7 @@
         for (int i = 0; i < LOSSES; i++) {
             TaskStart run = begin();
             mNowMillis += UNREAD_MILLIS;
-            leave(run, "another worker uses the address");
+            leave(run);
             assertEquals(1, provedCrashes());
         }
         assertNotFailed();
@@ -254,7 +253,6 @@
 
     // Guards against a run of a former owner that counts as begun although it was never sent.
     @Test
-    @Tag("known-red")
     void runThatFormerOwnersNeverSentProvesNoCrash() {
         for (int i = 0; i < LOSSES; i++) {
             assertNotFailed();
@@ -344,9 +342,9 @@
     }
 
     /** Lets another worker take the address of a run's worker. */
-    private void leave(TaskStart run, String reason) {
+    private void leave(TaskStart run) {
         WorkerEntry entry = unlist(run);
-        mScheduler.handleWorkerLeft(entry, reason, mNowMillis);
+        mScheduler.handleWorkerLeft(entry, RunLossCause.ADDRESS_TAKEN, mNowMillis);
         addWorker();
     }
 
