Prove no crash by a run that may have ended before its worker did

Change: runs that were ordered to stop prove nothing, a late answer does not mark a run as begun, and a worker that has left as planned has not crashed.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/CrashTracker.java
@@ -42,7 +42,7 @@
 
     /** Records the loss of a worker's runs, before they are requeued. */
     void recordLoss(PoolWorker worker, List<Task> lost, WorkerLoss loss, long nowMillis) {
-        if (!loss.certain() || worker.entry().draining()) {
+        if (!loss.certain() || loss.planned() || worker.entry().draining()) {
             return;
         }
         // The successor under the same identifier may have replaced the entry.
@@ -74,7 +74,8 @@
     }
 
     private void blame(Task task, Crash crash, long nowMillis) {
-        boolean begun = task.hasBegun();
+        // A run that was ordered to stop may have ended before the crash.
+        boolean begun = task.hasBegun() && task.mPhase != Task.Phase.STOPPING;
         task.recordCrash(crash.worker(), begun && crash.unplanned());
         Workflow workflow = task.mStep.mWorkflow;
         mState.mOutput.markChanged(workflow);
@@ -89,7 +90,7 @@
                                 task.mProvedCrashes.size(),
                                 crash.conclusive(),
                                 crash.loss().reason(),
-                                begun ? "begun" : "start not confirmed",
+                                begun ? "begun" : "not known to run",
                                 crash.unplanned() ? "not planned" : "may have left as planned",
                                 mState.describeKnowledge(crash.worker(), nowMillis)));
         if (task.mStep.mSpec.habits().longRunning()) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -252,7 +252,8 @@
 
     /** Records that the worker has accepted the start of the current run. */
     void markBegun() {
-        mBegun = true;
+        // The answer may come from the incarnation before a restart.
+        mBegun |= mWorker != null && mWorker.restartKnownMillis() <= mStartSentMillis;
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerLoss.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerLoss.java
@@ -18,6 +18,11 @@
         return new WorkerLoss(cause, false, false);
     }
 
+    /** Returns whether the worker has left as planned. */
+    boolean planned() {
+        return cause == RunLossCause.LEFT;
+    }
+
     /** Returns the reason of the loss, for the log. */
     String reason() {
         return cause.text();
