--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/DeadlyTaskSimulationTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/DeadlyTaskSimulationTest.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
-/** A task that crashes each worker is given up, whichever owners learn of the crashes. */
+/** Bounds the crashes under one task when its workers crash and the owner changes. */
 class DeadlyTaskSimulationTest {
     private static final String WORKFLOW = "deadly";
     private static final TaskKey TASK = new TaskKey(new StepKey(WORKFLOW, 0, 0), 0);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/LostRunsFailNoWorkflowTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/LostRunsFailNoWorkflowTest.java
@@ -60,7 +60,7 @@
         assertEquals(WorkflowState.COMPLETE, mPool.stateOf(WORKFLOW));
     }
 
-    // Guards against a long-running task that is given up after crashes of its workers.
+    // Guards against a long-running workflow that fails after crashes of its workers.
     @Test
     void longRunningTaskStartsAgainAfterEachCrash() {
         StepSpec.Behavior habits = new StepSpec.Behavior(false, false, true, false, 0, "", 0);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/UnprovedCrashBoundTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/UnprovedCrashBoundTest.java
@@ -10,7 +10,7 @@
 import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
-/** A task that crashes each worker is given up, however late the end of a worker is known. */
+/** Bounds the crashes under one task when the owner learns late, or never, that a worker ended. */
 class UnprovedCrashBoundTest {
     private static final String WORKFLOW = "deadly";
     private static final TaskKey TASK = new TaskKey(new StepKey(WORKFLOW, 0, 0), 0);
@@ -34,10 +34,10 @@
         check();
     }
 
-    // Guards against workers that are lost for good and whose addresses are not used again.
+    // Guards against workers that do not return and whose addresses are not reused.
     @Test
     @Tag("known-red")
-    void taskIsGivenUpWhenWorkersAreLostForGood() {
+    void taskIsGivenUpWhenWorkersDoNotReturn() {
         mPool.deadlyTasks().setDownMillis(NEVER_MILLIS);
         mPool.at(0, this::replaceCrashed);
         check();
