--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/LostRunsFailNoWorkflowTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/LostRunsFailNoWorkflowTest.java
@@ -146,11 +146,11 @@
     private void loseStoreInSeries(long cutMillis) {
         for (int i = 0; i < OUTAGES; i++) {
             mPool.advance(3_000);
-            mPool.setStoreAway(true);
+            mPool.store().setAway(true);
             mPool.advance(CUT_MILLIS);
             mPool.workers().forEach(SimulatedWorker::expireLeases);
             mPool.workers().forEach(it -> mPool.unlistWorker(it.mId));
-            mPool.setStoreAway(false);
+            mPool.store().setAway(false);
             if (cutMillis > 0) {
                 mPool.workers().forEach(it -> it.setDisconnected(true));
                 mPool.replaceOwner();
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPolls.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPolls.java
@@ -26,11 +26,11 @@
             return;
         }
         boolean pollStarts = sentMillis == mPool.nowMillis();
-        if (pollStarts && !mPool.isStoreAway()) {
+        if (pollStarts && !mPool.store().isAway()) {
             worker.renewLease(scheduler.grantLease(worker.mId, mPool.nowMillis()));
         }
         boolean knownClock =
-                mPool.isStoreAway() || scheduler.grantLease(worker.mId, mPool.nowMillis()) > 0;
+                mPool.store().isAway() || scheduler.grantLease(worker.mId, mPool.nowMillis()) > 0;
         boolean timedOut = !knownClock || mPool.nowMillis() - sentMillis >= POLL_TIMEOUT_MILLIS;
         if (!timedOut && !worker.hasUnreportedEnds()) {
             mPool.at(POLL_CHECK_MILLIS, () -> poll(scheduler, worker, sentMillis));
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -45,10 +45,7 @@
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atMillis).thenComparingLong(Event::order));
     private final Map<String, SimulatedWorker> mWorkers = new TreeMap<>();
-
-    /** Identifiers of the workers that the platform lists. */
-    private final Set<String> mListedIds = new HashSet<>();
-
+    private final SimulatedStore mStore = new SimulatedStore();
     private final Map<String, WorkflowSpec> mSpecs = new TreeMap<>();
     private final SimulatedRows mRows = new SimulatedRows();
     private final SimulatedTimes mTimes = new SimulatedTimes();
@@ -63,7 +60,6 @@
     private long mOrder;
     private long mEpoch = 1;
     private boolean mOwned = true;
-    private boolean mStoreAway;
     private int mStartCount;
     private final SimulatedPolls mPolls = new SimulatedPolls(this);
     private final SimulatedRounds mRounds = new SimulatedRounds();
@@ -126,19 +122,14 @@
     SimulatedWorker addWorker(String id, long cpuMillis) {
         SimulatedWorker worker = new SimulatedWorker(this, id, cpuMillis);
         mWorkers.put(id, worker);
-        list(worker);
+        mStore.list(mScheduler, worker, mNowMillis);
         mPolls.poll(mScheduler, worker, mNowMillis);
         return worker;
     }
 
     /** Lists a restarted worker after a while. */
     void listAfter(long millis, SimulatedWorker worker) {
-        at(millis, () -> list(worker));
-    }
-
-    private void list(SimulatedWorker worker) {
-        mListedIds.add(worker.mId);
-        mScheduler.updateWorker(worker.entry(mNowMillis), mNowMillis);
+        at(millis, () -> mStore.list(mScheduler, worker, mNowMillis));
     }
 
     /** Lets starts arrive slowly and be carried out late, at random. */
@@ -157,22 +148,13 @@
         processOutput();
     }
 
-    /**
-     * Sets whether the store is away: nothing is committed, the list is not read, and the owner
-     * renews no leases.
-     */
-    void setStoreAway(boolean away) {
-        mStoreAway = away;
-    }
-
-    boolean isStoreAway() {
-        return mStoreAway;
+    SimulatedStore store() {
+        return mStore;
     }
 
     /** Removes a worker from the platform's list without stopping it. */
     void unlistWorker(String id) {
-        mListedIds.remove(id);
-        mScheduler.markUnlisted(id);
+        mStore.unlist(mScheduler, id);
     }
 
     /** Lists a worker as draining; it leaves after a delay. */
@@ -247,9 +229,9 @@
         mScheduler = new PoolScheduler(mLimits, mNowMillis, mPlacementOrder);
         mScheduler.configure(mQueues.config());
         mWorkers.values().stream()
-                .filter(worker -> mListedIds.contains(worker.mId))
-                .forEach(this::list);
-        mScheduler.retainListed(mListedIds, mNowMillis);
+                .filter(worker -> mStore.isListed(worker.mId))
+                .forEach(worker -> mStore.list(mScheduler, worker, mNowMillis));
+        mStore.readList(mScheduler, mNowMillis);
         mSpecs.forEach(
                 (id, spec) -> {
                     WorkflowRow row = mRows.get(id);
@@ -336,9 +318,7 @@
     }
 
     private void tick() {
-        if (!mStoreAway) {
-            mScheduler.retainListed(mListedIds, mNowMillis);
-        }
+        mStore.readList(mScheduler, mNowMillis);
         mScheduler.tick(mNowMillis, mNowMillis);
         processOutput();
         at(TICK_MILLIS, this::tick);
@@ -396,7 +376,7 @@
         if (!scheduler.equals(mScheduler)) {
             return;
         }
-        if (mStoreAway) {
+        if (mStore.isAway()) {
             at(TICK_MILLIS, () -> handleCommit(scheduler, rows, starts));
             return;
         }
