--- a/review/standin-2/Executor.java
+++ b/review/standin-2/Executor.java
@@ -69,6 +69,7 @@
     private long mBornMillis = System.currentTimeMillis();
     private long mSequence;
     private boolean mDark;
+    private boolean mSheds;
     private int mLife;
 
     Executor(String ip, String id, String service, String kind, String rack, int cpu, int memoryMb,
@@ -148,6 +149,11 @@
         notifyAll();
     }
 
+    /** Sets whether the executor is unhealthy and turns starts away with 503. */
+    synchronized void setSheds(boolean sheds) {
+        mSheds = sheds;
+    }
+
     synchronized String kind() {
         return mKind;
     }
@@ -205,6 +211,9 @@
         mToken = token;
         endDueRuns();
         if (path.endsWith("/run-start")) {
+            if (mSheds) {
+                return 503;
+            }
             return start(body, answer);
         }
         if (path.endsWith("/run-stop")) {
