--- a/review/standin-2/Cell.java
+++ b/review/standin-2/Cell.java
@@ -206,7 +206,7 @@
     /** Sends a signal to a daemon that this script has started. */
     void signal(Node node, String signal) throws Exception {
         mRecord.add("SIG" + signal + " to " + node.mName);
-        new ProcessBuilder("kill", "-" + signal, "" + node.mProcess.pid()).inheritIO().start().waitFor();
+        new ProcessBuilder("sh", "-c", "kill -" + signal + " " + node.mProcess.pid()).inheritIO().start().waitFor();
     }
 
     /** Returns the lines of a daemon's log that contain a text. */
--- a/review/standin-2/LargeJob.java
+++ b/review/standin-2/LargeJob.java
@@ -16,7 +16,7 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         int tasks = trouble ? 2_400 : 200;
         Record record = new Record(Path.of(args[0]));
-        RunLog runs = new RunLog(record, false);
+        RunLog runs = new RunLog(record, true);
         Executor.Behavior behavior = new Executor.Behavior() {
             @Override
             public long runMillis(String task, int run) {
--- a/review/standin-2/Store.java
+++ b/review/standin-2/Store.java
@@ -5,7 +5,6 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.net.InetSocketAddress;
-import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
