Bound the rows of submissions, and fail a rejected row by itself

Callers saw: a job with many steps was answered 503 again and again, and so were the jobs whose rows were written in the same transaction.

Cause: a row of the jobs table grows with the number of steps (some 300 bytes each), and nothing regarded the size that the store accepts. The store's answers 4xx were taken for an outage, which passes: the whole group failed with a request to come again.

Change: rows from 16 KB on are compressed (1,500 steps fit; rows of the earlier release are read on). A job that is too large even so is refused at once, without Retry-After. TableError.Kind.REJECTED tells a refusal that never passes; JobWriter halves a rejected group down to the row, which fails by itself.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -67,6 +67,14 @@
     /** An attempt to deliver a start was not accepted, or was not the first one. */
     RUN_START_ATTEMPTED(
             5011, Level.INFO, "run start attempted", "task", "run", "worker", "attempt", "outcome"),
+    /** The state of a workflow has outgrown one row and is divided from now on. */
+    WORKFLOW_ROW_DIVIDED(5012, Level.INFO, "row of workflow divided", "id", "fromRow"),
+    /** The checkpoints of some tasks are not stored, as their row would be too large. */
+    CHECKPOINTS_NOT_STORED(5013, Level.WARNING, "checkpoints not stored", "key", "bytes"),
+    /** The store refuses the rows of a workflow, and no task of it is placed for a while. */
+    WORKFLOW_NOT_STORED(5014, Level.WARNING, "workflow held", "id", "certain", "withdrawn"),
+    /** Rows of finished workflows could not be replaced by short markers. */
+    COMPACTION_FAILED(5015, Level.INFO, "finished workflows not compacted", "rows", "reason"),
     /** This daemon acquired the ownership of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon released or lost the ownership of the pools. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobRowReader.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobRowReader.java
@@ -5,7 +5,6 @@
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.transport.PartitionTable;
-import org.hyssoprouter.util.MessageCodec;
 
 /** Decodes the rows of the jobs table for the owner; skips those of finished workflows. */
 final class JobRowReader implements TableFollower.Listener {
@@ -49,7 +48,7 @@
             return;
         }
         try {
-            mListener.onAccepted(MessageCodec.decode(value, WorkflowSpec.class));
+            mListener.onAccepted(Schema.decodeJob(value));
         } catch (IOException e) {
             LOG.log(LogEvent.ROW_UNREADABLE, key, e.getMessage());
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
@@ -45,6 +45,9 @@
     private final List<PendingRow> mPendingRows = new ArrayList<>();
     private boolean mCommitInFlight;
 
+    /** Maximum number of rows in the next transaction; lowered to find rows that are rejected. */
+    private int mMaxRows = MAX_ROWS;
+
     /** Time at which the transaction in flight was sent; {@link #NONE} if there is none. */
     private volatile long mSentMillis = NONE;
 
@@ -107,7 +110,7 @@
         int bytes = 0;
         for (PendingRow row : mPendingRows) {
             bytes += row.mValue.length;
-            boolean fits = group.size() < MAX_ROWS && (group.isEmpty() || bytes < MAX_BYTES);
+            boolean fits = group.size() < mMaxRows && (group.isEmpty() || bytes < MAX_BYTES);
             if (fits && keys.add(row.mKey)) {
                 group.add(row);
             }
@@ -147,6 +150,7 @@
             mRoundTripListener.accept(mClock.millis() - sentMillis);
         }
         if (result.isRight()) {
+            mMaxRows = Math.min(MAX_ROWS, 2 * mMaxRows);
             group.forEach(row -> row.mResult.complete(SubmitResult.DONE));
             sendNextBatch();
             return;
@@ -155,11 +159,25 @@
         TableError.Kind kind = failure.error().kind();
         if (kind == TableError.Kind.CONFLICT) {
             handleConflict(group, failure.currentRows());
+        } else if (kind == TableError.Kind.REJECTED) {
+            handleRejection(group, failure.error());
         } else {
             retryOrFail(group, kind == TableError.Kind.UNKNOWN, failure.error());
         }
     }
 
+    /** Fails a row that is rejected by itself; tries others in smaller groups. */
+    private void handleRejection(List<PendingRow> group, TableError error) {
+        if (group.size() > 1) {
+            mMaxRows = group.size() / 2;
+            mPendingRows.addAll(0, group);
+        } else {
+            String reason = "table write rejected: " + error.message();
+            group.forEach(row -> row.mResult.complete(SubmitResult.neverRuns(reason)));
+        }
+        sendNextBatch();
+    }
+
     private void handleConflict(List<PendingRow> group, List<PartitionTable.Entry> current) {
         Map<String, byte[]> present = new HashMap<>();
         for (PartitionTable.Entry entry : current) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -17,7 +17,6 @@
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.transport.PartitionTable;
-import org.hyssoprouter.util.MessageCodec;
 import org.hyssoprouter.util.MonotonicClock;
 
 /**
@@ -45,18 +44,24 @@
     private final SerialExecutor mThread;
     private final MonotonicClock mClock;
     private final WorkflowMeters mMeters;
+    private final int mMaxRowBytes;
     private final SubmissionGate mGate;
     private final Map<String, JobWriter> mWriters = new HashMap<>();
 
     /** Duration of the last transaction with a result. */
     private volatile long mLastWriteMillis;
 
-    /** Interfaces that the service uses. */
+    /**
+     * Interfaces that the service uses.
+     *
+     * @param maxRowBytes size of a row's value that the table accepts, in bytes
+     */
     record Ports(
             PartitionTable table,
             SerialExecutor thread,
             MonotonicClock clock,
-            WorkflowMeters meters) {}
+            WorkflowMeters meters,
+            int maxRowBytes) {}
 
     LocalWorkflowService(Ports ports, WorkflowStateCache states, LongConsumer roundTripListener) {
         this(ports, states, roundTripListener, SubmissionGate.OPEN);
@@ -73,6 +78,7 @@
         mThread = ports.thread();
         mClock = ports.clock();
         mMeters = ports.meters();
+        mMaxRowBytes = ports.maxRowBytes();
         LongConsumer listener =
                 millis -> {
                     mLastWriteMillis = millis;
@@ -98,7 +104,16 @@
                     recordResult(spec, refusal.get(), 0, configVersion));
         }
         WorkflowSpec accepted = spec.acceptedAt(mStates.storeClock().millis());
-        return write(spec.id(), spec.id(), MessageCodec.encode(accepted))
+        byte[] row = Schema.encodeJob(accepted);
+        if (row.length > mMaxRowBytes) {
+            SubmitResult tooLarge =
+                    SubmitResult.neverRuns(
+                            "workflow: expected at most %d bytes compressed, found %d"
+                                    .formatted(mMaxRowBytes, row.length));
+            return CompletableFuture.completedFuture(
+                    recordResult(spec, tooLarge, 0, configVersion));
+        }
+        return write(spec.id(), spec.id(), row)
                 .thenApply(
                         result ->
                                 recordResult(
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -141,7 +141,7 @@
                                 JOB_READ_PAUSE_MILLIS),
                         new JobRowReader(new JobListener()));
         mOpeningGuard = new OpeningGuard(mClock, mCommitter, ports.meters(), this::releaseNow);
-        mCompactor = new FinishedWorkflowCompactor(ports.table(), mClock);
+        mCompactor = new FinishedWorkflowCompactor(ports.table(), mThread, mClock);
         mWorkerFollower = followWorkers(ports, settings);
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Schema.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Schema.java
@@ -1,9 +1,14 @@
 package org.hyssoprouter.daemon.workflow;
 
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.util.MessageCodec;
@@ -40,9 +45,21 @@
     /** First byte of the value that replaces the row of a finished workflow; no map begins so. */
     private static final byte FINISHED_MARK = 0;
 
+    /** First byte of the value of a compressed workflow; no map begins so. */
+    private static final byte COMPRESSED_MARK = 1;
+
+    /** Size from which the row of a workflow is compressed. */
+    private static final int MAX_PLAIN_JOB_BYTES = 16_384;
+
+    /** Largest workflow that is read, more than a submission may have. */
+    private static final int MAX_JOB_BYTES = 32 << 20;
+
     /** Separates the state from the workspace, which rows of an earlier release lack. */
     private static final char STATE_SEPARATOR = ' ';
 
+    /** Separates the name of a part; identifiers of workflows are hexadecimal digits. */
+    private static final char PART_SEPARATOR = '!';
+
     private static final String CANCEL_SUFFIX = "!cancel";
 
     private Schema() {}
@@ -69,6 +86,32 @@
         return partitions;
     }
 
+    /** Returns the key of a row with the load of some queues. */
+    static String loadKey(int number) {
+        return number == 0 ? LOAD_KEY : LOAD_KEY + PART_SEPARATOR + number;
+    }
+
+    static boolean isLoadKey(String key) {
+        return key.startsWith(LOAD_KEY);
+    }
+
+    /** Returns the key of a part of a workflow's row in the table of runs. */
+    static String partKey(String id, String part) {
+        return id + PART_SEPARATOR + part;
+    }
+
+    static boolean isPartKey(String key) {
+        return key.indexOf(PART_SEPARATOR) > 0;
+    }
+
+    static String workflowIdOfPartKey(String key) {
+        return key.substring(0, key.indexOf(PART_SEPARATOR));
+    }
+
+    static String partOfKey(String key) {
+        return key.substring(key.indexOf(PART_SEPARATOR) + 1);
+    }
+
     static String cancelKey(String id) {
         return id + CANCEL_SUFFIX;
     }
@@ -97,7 +140,45 @@
     static String workspaceOfJob(byte[] value) throws IOException {
         return isFinished(value)
                 ? new String(value, 1, value.length - 1, StandardCharsets.UTF_8)
-                : MessageCodec.decode(value, WorkflowSpec.class).workspace();
+                : decodeJob(value).workspace();
+    }
+
+    /** Returns the row of an accepted workflow in the jobs table. */
+    static byte[] encodeJob(WorkflowSpec spec) {
+        byte[] encoded = MessageCodec.encode(spec);
+        return encoded.length <= MAX_PLAIN_JOB_BYTES ? encoded : compress(encoded);
+    }
+
+    /**
+     * Returns the workflow of a row in the jobs table.
+     *
+     * @throws IOException if the row is no workflow
+     */
+    static WorkflowSpec decodeJob(byte[] value) throws IOException {
+        boolean isCompressed = value.length > 0 && value[0] == COMPRESSED_MARK;
+        return MessageCodec.decode(isCompressed ? decompress(value) : value, WorkflowSpec.class);
+    }
+
+    private static byte[] compress(byte[] encoded) {
+        ByteArrayOutputStream row = new ByteArrayOutputStream();
+        row.write(COMPRESSED_MARK);
+        try (DeflaterOutputStream out = new DeflaterOutputStream(row)) {
+            out.write(encoded);
+        } catch (IOException e) {
+            throw new IllegalStateException("cannot compress a row in memory", e);
+        }
+        return row.toByteArray();
+    }
+
+    private static byte[] decompress(byte[] value) throws IOException {
+        try (InputStream in =
+                new InflaterInputStream(new ByteArrayInputStream(value, 1, value.length - 1))) {
+            byte[] encoded = in.readNBytes(MAX_JOB_BYTES + 1);
+            if (encoded.length > MAX_JOB_BYTES) {
+                throw new IOException("workflow has more than " + MAX_JOB_BYTES + " bytes");
+            }
+            return encoded;
+        }
     }
 
     static boolean isCancelKey(String key) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -128,7 +128,11 @@
         LocalWorkflowService local =
                 new LocalWorkflowService(
                         new LocalWorkflowService.Ports(
-                                mHedgedTable, mThread, ports.clock(), ports.meters()),
+                                mHedgedTable,
+                                mThread,
+                                ports.clock(),
+                                ports.meters(),
+                                settings.maxRowBytes()),
                         mStates,
                         millis -> {
                             mElection.recordRoundTrip(millis);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowSettings.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowSettings.java
@@ -14,6 +14,7 @@
  * @param cores processor time that the daemon may use, in cores
  * @param region region of its host, or empty
  * @param domain failure domain of its host, or empty
+ * @param maxRowBytes size of a row's value that the table store accepts, in bytes
  * @since 0.2
  */
 public record WorkflowSettings(
@@ -24,7 +25,11 @@
         long heartbeatMillis,
         double cores,
         String region,
-        String domain) {
+        String domain,
+        int maxRowBytes) {
+    /** Size of a row's value that a table store usually accepts, in bytes. */
+    public static final int DEFAULT_MAX_ROW_BYTES = 65_536;
+
     /** Creates the settings of a daemon whose location is unknown. */
     public WorkflowSettings(
             String name,
@@ -33,6 +38,15 @@
             SchedulerLimits limits,
             long heartbeatMillis,
             double cores) {
-        this(name, incarnation, peerAddress, limits, heartbeatMillis, cores, "", "");
+        this(
+                name,
+                incarnation,
+                peerAddress,
+                limits,
+                heartbeatMillis,
+                cores,
+                "",
+                "",
+                DEFAULT_MAX_ROW_BYTES);
     }
 }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
@@ -95,7 +95,11 @@
         LocalWorkflowService service =
                 new LocalWorkflowService(
                         new LocalWorkflowService.Ports(
-                                mTable, mThread, mThread, new WorkflowMeters()),
+                                mTable,
+                                mThread,
+                                mThread,
+                                new WorkflowMeters(),
+                                WorkflowSettings.DEFAULT_MAX_ROW_BYTES),
                         new WorkflowStateCache(mTable, new IgnoringListener(), mThread),
                         millis -> {},
                         gate);
@@ -134,7 +138,12 @@
 
     private LocalWorkflowService newService() {
         return new LocalWorkflowService(
-                new LocalWorkflowService.Ports(mTable, mThread, mThread, new WorkflowMeters()),
+                new LocalWorkflowService.Ports(
+                        mTable,
+                        mThread,
+                        mThread,
+                        new WorkflowMeters(),
+                        WorkflowSettings.DEFAULT_MAX_ROW_BYTES),
                 new WorkflowStateCache(mTable, new IgnoringListener(), mThread),
                 millis -> {});
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SubmissionGroupingTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SubmissionGroupingTest.java
@@ -160,7 +160,11 @@
             LocalWorkflowService local =
                     new LocalWorkflowService(
                             new LocalWorkflowService.Ports(
-                                    mTable, mThread, mThread, new WorkflowMeters()),
+                                    mTable,
+                                    mThread,
+                                    mThread,
+                                    new WorkflowMeters(),
+                                    WorkflowSettings.DEFAULT_MAX_ROW_BYTES),
                             new WorkflowStateCache(
                                     mTable,
                                     new LocalWorkflowServiceTest.IgnoringListener(),
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/TableError.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/errors/TableError.java
@@ -17,6 +17,11 @@
         CONFLICT,
         /** The service refused the operation or was unreachable; nothing was written. */
         UNAVAILABLE,
+        /**
+         * The service never accepts the operation, for instance for the size of a row; nothing was
+         * written.
+         */
+        REJECTED,
         /** The service is overloaded; nothing was written. */
         BUSY,
         /** The reply was lost; the write may have taken effect or may still do so. */
@@ -25,7 +30,7 @@
 
     /** Returns whether nothing was written for a reason other than a failed check. */
     public boolean isWithoutEffect() {
-        return kind == Kind.UNAVAILABLE || kind == Kind.BUSY;
+        return kind == Kind.UNAVAILABLE || kind == Kind.REJECTED || kind == Kind.BUSY;
     }
 
     /** Returns a conflict on {@code key}. */
@@ -38,6 +43,11 @@
         return new TableError(Kind.UNAVAILABLE, null, message);
     }
 
+    /** Returns a failure without effect that repetitions of the operation would share. */
+    public static TableError rejected(String message) {
+        return new TableError(Kind.REJECTED, null, message);
+    }
+
     /** Returns a failure of an overloaded service, without effect. */
     public static TableError busy(String message) {
         return new TableError(Kind.BUSY, null, message);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/GroupWriter.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/journal/GroupWriter.java
@@ -184,7 +184,7 @@
         return switch (error.kind()) {
             case CONFLICT -> handleConflict(error);
             case UNKNOWN -> handleLostReply();
-            case UNAVAILABLE, BUSY -> handleUnavailable(error);
+            case UNAVAILABLE, REJECTED, BUSY -> handleUnavailable(error);
         };
     }
 
