Divide the state of large workflows, and leave out rows that the store refuses

Cause: the state of a workflow was one row of hyssop-runs, which grows with its started tasks (33 bytes each or more), checkpoints and ended occurrences. Beyond MaxRowBytes the store answers 400. The owner took this for an outage, sent the same transaction again for ever, and asked others to take over, which placed the same tasks. The row of the load grows with the number of queues and is part of the same transactions.

Change: from 32 KB on, the state is divided into parts of 64 tasks and of 4,096 occurrences, each a row of its own; a change of a task writes one part. The rows of one workflow may take several commits: the main row comes first, a start is sent once its part is durable, the starts of a gang once all are. A row of an earlier release stays until all parts are written; what a part says is newer. A workflow with rows left goes behind the others, so that none waits for it. Ends are durable by rows instead of by workflows, or they never would be while a large workflow changes. Rows of parts are deleted at the end of the workflow, by the next owner if need be. The load has a row for about 100 queues. A commit that the store refuses at once, or three times, is followed by one of the owner's row only. If the store takes that, the fault is in the rows: the commit is halved down to one workflow, which is left out, tried by itself after 1 to 30 s, and gives back its room. Lists of crashes and reasons are bounded.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/CommitRows.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/CommitRows.java
@@ -1,28 +1,30 @@
 package org.hyssoprouter.daemon.workflow;
 
 import io.vavr.control.Option;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.hyssoprouter.daemon.log.EventLogger;
+import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.internal.workflow.WorkflowPartRow;
 import org.hyssoprouter.internal.workflow.WorkflowRow;
+import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.transport.PartitionTable;
 import org.hyssoprouter.util.MessageCodec;
 
 /**
  * Chooses the rows of each commit of the owner. With a slow store, each commit is full, and what it
- * includes decides who waits.
+ * includes decides who waits. The state of a workflow that is too large for one row is divided, and
+ * its rows may take several commits.
  */
 final class CommitRows {
-    /**
-     * Maximum number of rows of workflows in a commit. The store accepts 100 entries; three are the
-     * check and the write of the owner's row and the load.
-     */
-    private static final int MAX_ROWS = 97;
-
     /** A changed workflow has a row of its runs and, if its state changed, one of its state. */
     private static final int ROWS_PER_WORKFLOW = 2;
 
@@ -38,11 +40,66 @@
     /** Maximum number of workflows with starts that wait for a commit. */
     static final int MAX_STARTING_WORKFLOWS = MAX_STARTING_ROWS / ROWS_PER_WORKFLOW;
 
+    /** Size from which a row is divided, as every change writes it anew. */
+    private static final int MAX_UNDIVIDED_BYTES = 32_768;
+
+    private static final EventLogger LOG = EventLogger.of(CommitRows.class);
+
     private final PoolScheduler mScheduler;
+    private final int mMaxRowBytes;
     private final Map<String, WorkflowState> mPublishedStates = new HashMap<>();
+    private final Map<String, DividedWorkflow> mDivided = new HashMap<>();
+
+    /** Keys of rows to delete, of workflows that are not known any more. */
+    private final Set<String> mLeftoverKeys = new LinkedHashSet<>();
 
-    CommitRows(PoolScheduler scheduler) {
+    /**
+     * Creates the rows of one ownership.
+     *
+     * @param maxRowBytes size of a row's value that the store accepts, in bytes
+     */
+    CommitRows(PoolScheduler scheduler, int maxRowBytes) {
         mScheduler = scheduler;
+        mMaxRowBytes = maxRowBytes;
+    }
+
+    /** Rows that a commit includes, and what follows once they are durable. */
+    static final class Included {
+        private final Set<String> mComplete = new LinkedHashSet<>();
+
+        /** Names of the rows that are left to write, by workflow. */
+        private final Map<String, Set<String>> mRemaining = new LinkedHashMap<>();
+
+        private final Map<String, WorkflowStatus> mStates = new HashMap<>();
+        private final List<Runnable> mRecords = new ArrayList<>();
+        private int mBytes;
+
+        /** Returns the workflows whose present state is durable with the commit. */
+        Set<String> complete() {
+            return mComplete;
+        }
+
+        /** Returns the names of the rows that are left to write, by workflow. */
+        Map<String, Set<String>> remaining() {
+            return mRemaining;
+        }
+
+        /** Returns the states that the commit writes. */
+        Map<String, WorkflowStatus> states() {
+            return mStates;
+        }
+
+        /** Returns the workflows with rows in the commit. */
+        Set<String> workflows() {
+            Set<String> ids = new LinkedHashSet<>(mComplete);
+            ids.addAll(mRemaining.keySet());
+            return ids;
+        }
+
+        /** Records that the rows are durable. */
+        void recordDurable() {
+            mRecords.forEach(Runnable::run);
+        }
     }
 
     /** Records a state that the states table holds already. */
@@ -50,6 +107,36 @@
         mPublishedStates.put(id, state);
     }
 
+    /** Returns whether the states table holds a terminal state of a workflow. */
+    boolean isPublishedFinal(String id) {
+        WorkflowState state = mPublishedStates.get(id);
+        return state != null && state.isFinal();
+    }
+
+    /** Records the parts that a former owner has written for a workflow that the scheduler has. */
+    void recordFormerParts(String id, FormerWorkflow former) {
+        mScheduler
+                .rows()
+                .partsOf(id)
+                .forEach(
+                        layout -> {
+                            DividedWorkflow divided =
+                                    new DividedWorkflow(layout, !former.isDivided());
+                            divided.recordFormer(former.parts());
+                            mDivided.put(id, divided);
+                        });
+    }
+
+    /** Deletes rows that no workflow needs, as far as later commits have room for it. */
+    void deleteLeftover(List<String> keys) {
+        mLeftoverKeys.addAll(keys);
+    }
+
+    /** Returns whether rows wait to be deleted. */
+    boolean hasLeftovers() {
+        return !mLeftoverKeys.isEmpty();
+    }
+
     /** Returns the number of workflows whose starts fit into a commit of these changes. */
     int maxStartingWorkflows(Set<String> changedIds) {
         int finalRows =
@@ -63,77 +150,240 @@
         return ids;
     }
 
+    /** Returns the names of the rows that are to be written for a workflow. */
+    Set<String> waitingRows(String id) {
+        DividedWorkflow divided = mDivided.get(id);
+        Option<WorkflowRow> row = divided == null ? Option.none() : mScheduler.row(id);
+        if (divided == null || row.isEmpty()) {
+            return Set.of(DividedWorkflow.MAIN);
+        }
+        divided.update(row.get());
+        return remainingRows(divided);
+    }
+
+    private static Set<String> remainingRows(DividedWorkflow divided) {
+        Set<String> names = new HashSet<>(divided.waitingParts());
+        if (divided.isMainChanged()) {
+            names.add(DividedWorkflow.MAIN);
+        }
+        return names;
+    }
+
+    /** Returns whether a commit makes the row with a task's run durable. */
+    boolean includes(Included included, TaskKey task) {
+        String id = task.step().workflow();
+        if (included.mComplete.contains(id)) {
+            return true;
+        }
+        DividedWorkflow divided = mDivided.get(id);
+        Set<String> remaining = included.mRemaining.get(id);
+        return divided != null
+                && remaining != null
+                && !remaining.contains(divided.nameOf(task))
+                && !(divided.isMainFirst() && remaining.contains(DividedWorkflow.MAIN));
+    }
+
     /**
      * Adds the rows of changed workflows to a batch until it is full: first of those in a terminal
      * state, whose callers wait for the result, then of those with pending starts, then of the
      * others, each in order of change. Each has a share that the ones before it cannot take.
-     * Returns the workflows.
      *
-     * @param states receives the states that the batch writes
+     * @param limits limits of the batch
      */
-    Set<String> put(
+    Included put(
             PartitionTable.Batch batch,
             Set<String> changedIds,
             Set<String> startingIds,
-            Map<String, WorkflowStatus> states) {
-        Set<String> starting = new LinkedHashSet<>(startingIds);
-        starting.retainAll(changedIds);
-        Set<String> ids = new HashSet<>();
-        int bytes =
-                putWorkflows(
-                        batch,
-                        finalWorkflows(changedIds),
-                        ids,
-                        new Budget(MAX_FINAL_ROWS, MAX_BYTES / 2),
-                        states);
-        bytes +=
-                putWorkflows(
-                        batch,
-                        starting,
-                        ids,
-                        new Budget(MAX_STARTING_ROWS, MAX_BYTES / 2 - bytes),
-                        states);
-        putWorkflows(batch, changedIds, ids, new Budget(MAX_ROWS, MAX_BYTES - bytes), states);
-        return ids;
+            Limits limits) {
+        Set<String> starting = new LinkedHashSet<>(changedIds);
+        starting.retainAll(startingIds);
+        Included included = new Included();
+        putWorkflows(
+                batch,
+                finalWorkflows(changedIds),
+                included,
+                limits.budget(MAX_FINAL_ROWS, MAX_BYTES / 2));
+        putWorkflows(batch, starting, included, limits.budget(MAX_STARTING_ROWS, MAX_BYTES / 2));
+        putWorkflows(batch, changedIds, included, limits.budget(limits.rows(), MAX_BYTES));
+        deleteLeftovers(batch, included, limits);
+        return included;
+    }
+
+    /**
+     * Limits of a batch.
+     *
+     * @param rows maximum number of rows
+     * @param workflows maximum number of workflows
+     */
+    record Limits(int rows, int workflows) {
+        Budget budget(int maxRows, int maxBytes) {
+            return new Budget(Math.min(rows, maxRows), maxBytes, workflows);
+        }
     }
 
     /** Size up to which a batch is filled. */
-    private record Budget(int rows, int bytes) {}
+    private record Budget(int rows, int bytes, int workflows) {
+        boolean allows(PartitionTable.Batch batch, Included included, int rowCount) {
+            return batch.writes().size() + rowCount <= rows && included.mBytes < bytes;
+        }
+    }
 
-    /** Adds the rows of workflows that are not included yet. Returns their size in bytes. */
-    private int putWorkflows(
-            PartitionTable.Batch batch,
-            Set<String> candidates,
-            Set<String> included,
-            Budget budget,
-            Map<String, WorkflowStatus> states) {
-        int bytes = 0;
-        for (String id : candidates) {
-            boolean full = batch.writes().size() + ROWS_PER_WORKFLOW > budget.rows();
-            if (full || bytes >= budget.bytes()) {
+    private void deleteLeftovers(PartitionTable.Batch batch, Included included, Limits limits) {
+        List<String> keys = new ArrayList<>();
+        for (String key : mLeftoverKeys) {
+            if (batch.writes().size() >= limits.rows()) {
                 break;
             }
-            if (included.add(id)) {
-                Option<WorkflowRow> row = mScheduler.row(id);
-                bytes += row.isEmpty() ? 0 : putWorkflow(batch, id, row.get(), states);
+            batch.delete(Schema.RUNS, key);
+            keys.add(key);
+        }
+        included.mRecords.add(() -> keys.forEach(mLeftoverKeys::remove));
+    }
+
+    /** Adds the rows of workflows that are not included yet. */
+    private void putWorkflows(
+            PartitionTable.Batch batch, Set<String> candidates, Included included, Budget budget) {
+        for (String id : candidates) {
+            if (!budget.allows(batch, included, ROWS_PER_WORKFLOW)
+                    || included.mComplete.size() + included.mRemaining.size()
+                            >= budget.workflows()) {
+                return;
+            }
+            if (included.mComplete.contains(id) || included.mRemaining.containsKey(id)) {
+                continue;
+            }
+            Option<WorkflowRow> row = mScheduler.row(id);
+            if (row.isEmpty()) {
+                included.mComplete.add(id);
+            } else {
+                putWorkflow(batch, id, row.get(), included, budget);
+            }
+        }
+    }
+
+    private void putWorkflow(
+            PartitionTable.Batch batch,
+            String id,
+            WorkflowRow row,
+            Included included,
+            Budget budget) {
+        DividedWorkflow divided = mDivided.get(id);
+        if (divided == null) {
+            byte[] encoded = MessageCodec.encode(row);
+            if (encoded.length <= Math.min(MAX_UNDIVIDED_BYTES, mMaxRowBytes / 2)) {
+                putMain(batch, id, row, encoded, included);
+                included.mComplete.add(id);
+                return;
+            }
+            divided = divide(id);
+        }
+        divided.update(row);
+        Set<String> remaining = putDivided(batch, id, row, divided, included, budget);
+        if (remaining.isEmpty()) {
+            included.mComplete.add(id);
+        } else {
+            included.mRemaining.put(id, remaining);
+        }
+    }
+
+    private DividedWorkflow divide(String id) {
+        boolean undividedIsDurable = mPublishedStates.containsKey(id);
+        DividedWorkflow divided =
+                new DividedWorkflow(mScheduler.rows().partsOf(id).get(), undividedIsDurable);
+        mDivided.put(id, divided);
+        LOG.log(LogEvent.WORKFLOW_ROW_DIVIDED, id, undividedIsDurable);
+        return divided;
+    }
+
+    /** Adds rows of a divided workflow. Returns the names of those that are left to write. */
+    private Set<String> putDivided(
+            PartitionTable.Batch batch,
+            String id,
+            WorkflowRow row,
+            DividedWorkflow divided,
+            Included included,
+            Budget budget) {
+        Set<String> remaining = remainingRows(divided);
+        WorkflowRow main = row.withoutSteps();
+        boolean mainFirst = divided.isMainFirst();
+        if (mainFirst) {
+            putDividedMain(batch, id, main, divided, included);
+            remaining.remove(DividedWorkflow.MAIN);
+        }
+        for (String name : divided.waitingParts()) {
+            if (!budget.allows(batch, included, 1)) {
+                return remaining;
             }
+            putPart(batch, id, name, divided, included);
+            remaining.remove(name);
+        }
+        if (remaining.contains(DividedWorkflow.MAIN)
+                && budget.allows(batch, included, ROWS_PER_WORKFLOW)) {
+            putDividedMain(batch, id, main, divided, included);
+            remaining.remove(DividedWorkflow.MAIN);
+        }
+        return remaining;
+    }
+
+    private void putDividedMain(
+            PartitionTable.Batch batch,
+            String id,
+            WorkflowRow main,
+            DividedWorkflow divided,
+            Included included) {
+        putMain(batch, id, main, MessageCodec.encode(main), included);
+        included.mRecords.add(() -> divided.recordMain(main));
+    }
+
+    private void putPart(
+            PartitionTable.Batch batch,
+            String id,
+            String name,
+            DividedWorkflow divided,
+            Included included) {
+        WorkflowPartRow part = divided.part(name);
+        String key = Schema.partKey(id, name);
+        if (part == null) {
+            batch.delete(Schema.RUNS, key);
+        } else {
+            byte[] encoded = encode(key, part);
+            batch.put(Schema.RUNS, key, encoded);
+            included.mBytes += encoded.length;
+        }
+        included.mRecords.add(
+                () -> {
+                    divided.recordPart(name, part);
+                    if (divided.isEmpty()) {
+                        mDivided.remove(id, divided);
+                    }
+                });
+    }
+
+    /** Encodes a part; without checkpoints, which only save work, if they make it too large. */
+    private byte[] encode(String key, WorkflowPartRow part) {
+        byte[] encoded = MessageCodec.encode(part);
+        if (encoded.length <= mMaxRowBytes * 3 / 4) {
+            return encoded;
         }
-        return bytes;
+        LOG.log(LogEvent.CHECKPOINTS_NOT_STORED, key, encoded.length);
+        return MessageCodec.encode(part.withoutCheckpoints());
     }
 
-    /** Adds the rows of a workflow. Returns their approximate size in bytes. */
-    private int putWorkflow(
+    /** Adds the main row of a workflow and, if it has changed, its state. */
+    private void putMain(
             PartitionTable.Batch batch,
             String id,
             WorkflowRow row,
-            Map<String, WorkflowStatus> states) {
-        byte[] encoded = MessageCodec.encode(row);
+            byte[] encoded,
+            Included included) {
         batch.put(Schema.RUNS, id, encoded);
-        if (mPublishedStates.put(id, row.state()) != row.state()) {
-            WorkflowStatus status = new WorkflowStatus(row.state(), mScheduler.workspaceOf(id));
+        included.mBytes += encoded.length;
+        if (mPublishedStates.get(id) != row.state()) {
+            WorkflowStatus status =
+                    new WorkflowStatus(row.state(), mScheduler.rows().workspaceOf(id));
             batch.put(Schema.STATES, id, Schema.encodeState(status));
-            states.put(id, status);
+            included.mStates.put(id, status);
+            included.mRecords.add(() -> mPublishedStates.put(id, row.state()));
         }
-        return encoded.length;
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -4,12 +4,8 @@
 import io.vavr.control.Option;
 import java.io.IOException;
 import java.util.ArrayList;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
@@ -17,10 +13,10 @@
 import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.lib.workflow.TaskStart;
-import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.transport.PartitionTable;
 import org.hyssoprouter.util.MessageCodec;
 import org.hyssoprouter.util.MonotonicClock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Commits the owner's decisions, one transaction at a time. Each transaction checks and rewrites
@@ -33,32 +29,37 @@
      */
     static final long HEARTBEAT_MILLIS = 400;
 
-    /** Interval between two publications of the load. */
-    static final long LOAD_INTERVAL_MILLIS = 500;
-
     private static final long RETRY_DELAY_MILLIS = 100;
 
+    /** Failures of a commit after which one without changes is tried. */
+    private static final int PROBE_FAILURES = 3;
+
     /** Interval between two log lines about retried commits. */
     private static final long RETRY_LOG_INTERVAL_MILLIS = 1_000;
 
     private static final EventLogger LOG = EventLogger.of(OwnerCommitter.class);
 
     private final PartitionTable mTable;
-    private final PoolScheduler mScheduler;
     private final SerialExecutor mThread;
     private final MonotonicClock mClock;
     private final Listener mListener;
     private final OwnerLoadMonitor mLoadMonitor;
-    private final Set<String> mChangedIds = new LinkedHashSet<>();
-    private final CommitRows mRows;
+    private final PendingChanges mChanges;
     private final CommitRefusals mRefusals;
     private final PoolOwnershipConfirmation mConfirmation;
-    private final Map<String, PoolScheduler.ProcessedEnds> mDurableEnds = new HashMap<>();
-    private List<TaskStart> mPendingStarts = new ArrayList<>();
 
     /** Starts whose rows are durable, but which this daemon may no longer send. */
     private List<TaskStart> mUnconfirmedStarts = new ArrayList<>();
 
+    /** Commit without changes that was last sent instead of one that failed. */
+    private @Nullable CommitGroup mProbe;
+
+    /** Failures of the commit in flight since it was first sent. */
+    private int mFailureCount;
+
+    /** Whether the store has said that it never takes the commit in flight. */
+    private boolean mRejected;
+
     private OwnerRow mRow;
     private int mUnopenedCount;
     private long mVersion;
@@ -74,15 +75,7 @@
     /** Duration of the last successful transaction. */
     private long mLastDurationMillis;
 
-    private long mLoadPublishedMillis;
     private long mRetryLoggedMillis;
-    private Map<String, Integer> mPublishedLoad = Map.of();
-
-    /** Ends that become durable once the rows that they changed are written. */
-    private Map<String, PoolScheduler.ProcessedEnds> mPendingEnds = Map.of();
-
-    /** Workflows whose rows must be written before the pending ends are durable. */
-    private final Set<String> mPendingEndIds = new HashSet<>();
 
     /** Receives the events of the commits. All calls come from the owner's thread. */
     interface Listener {
@@ -105,14 +98,9 @@
         void onReleased();
     }
 
-    /** Rows of one transaction and the effects to apply once it is durable. */
+    /** One transaction with the owner's row that it writes. */
     private record CommitGroup(
-            PartitionTable.Batch batch,
-            OwnerRow row,
-            List<TaskStart> starts,
-            Map<String, WorkflowStatus> states,
-            Map<String, PoolScheduler.ProcessedEnds> ends,
-            PoolOwnershipConfirmation.Moment sent) {
+            PendingChanges.Group changes, OwnerRow row, PoolOwnershipConfirmation.Moment sent) {
         long sentMillis() {
             return sent.monotonicMillis();
         }
@@ -125,12 +113,12 @@
             MonotonicClock clock,
             Listener listener,
             PoolOwnershipConfirmation confirmation,
-            OwnerLoadMonitor loadMonitor) {
+            OwnerLoadMonitor loadMonitor,
+            int maxRowBytes) {
         mConfirmation = confirmation;
         mLoadMonitor = loadMonitor;
         mTable = table;
-        mScheduler = scheduler;
-        mRows = new CommitRows(scheduler);
+        mChanges = new PendingChanges(scheduler, clock, maxRowBytes);
         mRefusals = new CommitRefusals(clock);
         mThread = thread;
         mClock = clock;
@@ -175,42 +163,34 @@
      * or 0.
      */
     long durableEndSequence(String workerId) {
-        PoolScheduler.ProcessedEnds processed = mScheduler.processedEnds(workerId);
-        PoolScheduler.ProcessedEnds durable = mDurableEnds.get(workerId);
-        if (durable == null || durable.incarnationMillis() != processed.incarnationMillis()) {
-            return 0;
-        }
-        return durable.sequence();
+        return mChanges.durableEndSequence(workerId);
     }
 
     /** Returns the number of changed workflows that no commit includes yet. */
     int uncommittedWorkflowCount() {
-        return mChangedIds.size();
+        return mChanges.workflowCount();
     }
 
-    /** Records a state that the states table holds already. */
-    void recordPublishedState(String id, WorkflowState state) {
-        mRows.recordPublishedState(id, state);
+    /** Returns the changes that wait for a commit. */
+    PendingChanges changes() {
+        return mChanges;
     }
 
     /** Commits pending changes or a due heartbeat, unless a transaction is in flight. */
     void commitIfDue() {
-        collectOutput();
+        mChanges.collect();
         boolean due = mClock.millis() - mLastCommitMillis >= HEARTBEAT_MILLIS;
-        boolean hasWork = !mChangedIds.isEmpty() || !mUnconfirmedStarts.isEmpty() || mReleasing;
+        boolean hasWork =
+                !mChanges.isEmpty()
+                        || mChanges.rows().hasLeftovers()
+                        || !mUnconfirmedStarts.isEmpty()
+                        || mReleasing;
         if (mCommitInFlight || mClosed || !(hasWork || due)) {
             return;
         }
         send(nextGroup());
     }
 
-    // Ends count as durable with the rows that they have changed, so these must be known before the
-    // processed ends are noted.
-    private void collectOutput() {
-        mChangedIds.addAll(mScheduler.output().takeChangedWorkflows());
-        mPendingStarts.addAll(mScheduler.output().takeStarts());
-    }
-
     /** Releases the ownership with the last transaction. */
     void release() {
         mReleasing = true;
@@ -222,7 +202,7 @@
      * are placed beyond it would be sent late, when their tickets may have expired.
      */
     int remainingStartingWorkflows() {
-        return Math.max(0, mRows.maxStartingWorkflows(mChangedIds) - startingWorkflows().size());
+        return mChanges.remainingStartingWorkflows();
     }
 
     /**
@@ -237,63 +217,21 @@
 
     /** Returns the number of starts that wait for a commit or are part of the one in flight. */
     int uncommittedStartCount() {
-        return mPendingStarts.size() + mStartsInFlightCount + mUnconfirmedStarts.size();
-    }
-
-    private Set<String> startingWorkflows() {
-        Set<String> ids = new LinkedHashSet<>();
-        mPendingStarts.forEach(start -> ids.add(start.task().step().workflow()));
-        return ids;
+        return mChanges.startCount() + mStartsInFlightCount + mUnconfirmedStarts.size();
     }
 
     private CommitGroup nextGroup() {
-        capturePendingEnds();
-        PartitionTable.Batch batch = new PartitionTable.Batch(Schema.POOLS_PARTITION);
-        Map<String, WorkflowStatus> states = new HashMap<>();
-        Set<String> ids = mRows.put(batch, mChangedIds, startingWorkflows(), states);
-        mChangedIds.removeAll(ids);
-        List<TaskStart> starts = new ArrayList<>();
-        List<TaskStart> deferred = new ArrayList<>();
-        for (TaskStart start : mPendingStarts) {
-            (ids.contains(start.task().step().workflow()) ? starts : deferred).add(start);
-        }
-        mPendingStarts = deferred;
-        OwnerRow row =
-                mReleasing && mChangedIds.isEmpty() ? mRow.releasingCommit() : mRow.nextCommit();
-        row = row.withUnopenedCount(mUnopenedCount);
-        batch.check(Schema.STATES, Schema.OWNER_KEY, mVersion);
-        batch.put(Schema.STATES, Schema.OWNER_KEY, MessageCodec.encode(row));
-        putLoad(batch);
-        return new CommitGroup(
-                batch, row, starts, states, takeWrittenEnds(ids), mConfirmation.now());
-    }
-
-    // While workflows change faster than they are written, some row is always left for the next
-    // group. The ends of a fixed set of rows become durable all the same.
-    private void capturePendingEnds() {
-        if (mPendingEndIds.isEmpty()) {
-            mPendingEndIds.addAll(mChangedIds);
-            mPendingEnds = mScheduler.processedEnds();
-        }
+        PendingChanges.Group changes = mChanges.next();
+        boolean releases = mReleasing && mChanges.isEmpty();
+        return newGroup(changes, releases ? mRow.releasingCommit() : mRow.nextCommit());
     }
 
-    /** Returns the pending ends if a group with these workflows is the last that they need. */
-    private Map<String, PoolScheduler.ProcessedEnds> takeWrittenEnds(Set<String> ids) {
-        ids.forEach(mPendingEndIds::remove);
-        return mPendingEndIds.isEmpty() ? mPendingEnds : Map.of();
-    }
-
-    private void putLoad(PartitionTable.Batch batch) {
-        long nowMillis = mClock.millis();
-        if (nowMillis - mLoadPublishedMillis < LOAD_INTERVAL_MILLIS) {
-            return;
-        }
-        mLoadPublishedMillis = nowMillis;
-        Map<String, Integer> load = mScheduler.pendingCounts();
-        if (!load.equals(mPublishedLoad)) {
-            mPublishedLoad = load;
-            batch.put(Schema.STATES, Schema.LOAD_KEY, MessageCodec.encode(new LoadRow(load)));
-        }
+    /** Adds the check and the write of the owner's row to changes. */
+    private CommitGroup newGroup(PendingChanges.Group changes, OwnerRow row) {
+        OwnerRow counted = row.withUnopenedCount(mUnopenedCount);
+        changes.batch().check(Schema.STATES, Schema.OWNER_KEY, mVersion);
+        changes.batch().put(Schema.STATES, Schema.OWNER_KEY, MessageCodec.encode(counted));
+        return new CommitGroup(changes, counted, mConfirmation.now());
     }
 
     private void send(CommitGroup group) {
@@ -301,44 +239,90 @@
         if (group.row().released()) {
             mConfirmation.revoke();
         }
+        mStartsInFlightCount = group.changes().starts().ready().size();
+        mFailureCount = 0;
+        call(group, group);
+    }
+
+    /**
+     * Sends a commit, or a probe in its place.
+     *
+     * @param group commit to make
+     * @param sent the commit or its probe
+     */
+    private void call(CommitGroup group, CommitGroup sent) {
         mSentMillis = mClock.millis();
-        mStartsInFlightCount = group.starts().size();
         CompletableFuture<Void> unused =
                 PortCalls.recover(
-                                mTable.commit(group.batch()),
+                                mTable.commit(sent.changes().batch()),
                                 "commit",
                                 PartitionTable.CommitFailure::unknownOutcome)
-                        .thenAccept(result -> mThread.execute(() -> handleResult(group, result)));
+                        .thenAccept(
+                                result -> mThread.execute(() -> handleResult(group, sent, result)));
     }
 
     private void handleResult(
             CommitGroup group,
+            CommitGroup sent,
             Either<PartitionTable.CommitFailure, PartitionTable.CommitResult> result) {
         String outcome = result.fold(failure -> failure.error().kind().name(), it -> "DONE");
-        mLoadMonitor.recordCommit(outcome, mClock.millis() - group.sentMillis());
+        mLoadMonitor.recordCommit(outcome, mClock.millis() - sent.sentMillis());
         if (mClosed) {
             return;
         }
         if (result.isRight()) {
-            onCommitted(group, result.get().version());
+            onCommitted(group, sent, result.get().version());
             return;
         }
         PartitionTable.CommitFailure failure = result.getLeft();
         if (failure.error().kind() != TableError.Kind.CONFLICT) {
-            logRetry(group, failure.error());
-            if (mRefusals.onFailure(mClock.millis() - group.sentMillis())) {
-                mConfirmation.revoke();
-                mListener.onCommitsRefused();
-            }
-            mThread.schedule(() -> resend(group), RETRY_DELAY_MILLIS);
+            handleFailure(group, sent, failure.error());
             return;
         }
         Option<PartitionTable.Entry> current = ownerEntry(failure.currentRows());
-        boolean applied = current.flatMap(this::decode).exists(group.row()::equals);
-        if (applied) {
-            onCommitted(group, current.get().version());
+        Option<OwnerRow> row = current.flatMap(this::decode);
+        CommitGroup probe = mProbe;
+        if (row.exists(group.row()::equals)) {
+            onCommitted(group, group, current.get().version());
+        } else if (probe != null && row.exists(probe.row()::equals)) {
+            onCommitted(group, probe, current.get().version());
+        } else {
+            mListener.onOwnershipLost("owner row is now " + row);
+        }
+    }
+
+    private void handleFailure(CommitGroup group, CommitGroup sent, TableError error) {
+        logRetry(sent, error);
+        boolean mayBeChanges = sent.equals(group) && group.changes().hasChanges();
+        boolean rejected = error.kind() == TableError.Kind.REJECTED;
+        // What the store says of the rows does not show how it treats this daemon.
+        boolean counts = !(rejected && mayBeChanges);
+        if (counts && mRefusals.onFailure(mClock.millis() - sent.sentMillis())) {
+            mConfirmation.revoke();
+            mListener.onCommitsRefused();
+        }
+        if (sent.equals(group)) {
+            mFailureCount++;
+            mRejected = rejected;
+        }
+        if (mayBeChanges && (rejected || mFailureCount >= PROBE_FAILURES)) {
+            mThread.schedule(() -> sendProbe(group), rejected ? 0 : RETRY_DELAY_MILLIS);
         } else {
-            mListener.onOwnershipLost("owner row is now " + current.flatMap(this::decode));
+            mThread.schedule(() -> resend(group), RETRY_DELAY_MILLIS);
+        }
+    }
+
+    /**
+     * Sends a commit of the owner's row only instead of one that failed. It shows whether the store
+     * refuses the changes or all commits, and once it is durable, the one that it replaces is
+     * certain to have no effect.
+     */
+    private void sendProbe(CommitGroup group) {
+        if (!mClosed) {
+            CommitGroup probe =
+                    newGroup(PendingChanges.Group.empty(), mRow.nextCommit().nextCommit());
+            mProbe = probe;
+            call(group, probe);
         }
     }
 
@@ -357,35 +341,40 @@
 
     private void resend(CommitGroup group) {
         if (!mClosed) {
-            send(
-                    new CommitGroup(
-                            group.batch(),
-                            group.row(),
-                            group.starts(),
-                            group.states(),
-                            group.ends(),
-                            mConfirmation.now()));
+            CommitGroup again = new CommitGroup(group.changes(), group.row(), mConfirmation.now());
+            call(again, again);
         }
     }
 
-    private void onCommitted(CommitGroup group, long version) {
+    /**
+     * Handles that a commit is durable.
+     *
+     * @param group commit to make
+     * @param durable the commit or its probe
+     */
+    private void onCommitted(CommitGroup group, CommitGroup durable, long version) {
         mCommitInFlight = false;
+        mProbe = null;
         mRefusals.onSuccess();
         mStartsInFlightCount = 0;
-        mRow = group.row();
+        mRow = durable.row();
         mVersion = version;
-        mLastCommitMillis = group.sentMillis();
-        mLastDurationMillis = mClock.millis() - group.sentMillis();
-        mConfirmation.onCommitted(group.sent());
+        mLastCommitMillis = durable.sentMillis();
+        mLastDurationMillis = mClock.millis() - durable.sentMillis();
+        mConfirmation.onCommitted(durable.sent());
         if (mRow.released()) {
             mClosed = true;
             mListener.onReleased();
             return;
         }
-        mDurableEnds.putAll(group.ends());
-        deliverStarts(group.starts());
-        mListener.onStatesDurable(group.states());
-        if (!group.ends().isEmpty()) {
+        if (!durable.equals(group)) {
+            mChanges.restoreRefused(group.changes(), mRejected);
+        }
+        PendingChanges.Group changes = durable.changes();
+        mChanges.recordDurable(changes);
+        deliverStarts(changes.starts().ready());
+        mListener.onStatesDurable(changes.included().states());
+        if (!changes.ends().isEmpty()) {
             mListener.onEndsDurable();
         }
         commitIfDue();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -1,8 +1,6 @@
 package org.hyssoprouter.daemon.workflow;
 
 import java.time.Clock;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -17,7 +15,6 @@
 import org.hyssoprouter.internal.workflow.RoundLimits;
 import org.hyssoprouter.internal.workflow.RunLossCause;
 import org.hyssoprouter.internal.workflow.SchedulerOutput;
-import org.hyssoprouter.internal.workflow.WorkflowRow;
 import org.hyssoprouter.lib.workflow.PoolConfig;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.WorkerEntry;
@@ -49,8 +46,7 @@
     private final TableFollower mRunFollower;
     private final TableFollower mJobFollower;
     private final TableFollower mWorkerFollower;
-    private final Map<String, WorkflowRow> mFormerRows = new HashMap<>();
-    private final Set<String> mCancelledIds = new HashSet<>();
+    private final AcceptedWorkflows mWorkflows;
     private final MonotonicClock mClock;
     private final Clock mTimeOfDay;
     private final StoreClock mStoreClock;
@@ -95,7 +91,9 @@
                         mClock,
                         events,
                         confirmation,
-                        mLoadMonitor);
+                        mLoadMonitor,
+                        settings.maxRowBytes());
+        mWorkflows = new AcceptedWorkflows(mScheduler, mCommitter.changes(), mClock, mStoreClock);
         mWorkerPoller =
                 new WorkerPoller(
                         mScheduler,
@@ -312,6 +310,7 @@
             return;
         }
         mPlacing = true;
+        mWorkflows.deleteLeftovers();
         mOpeningGuard.onOpened();
         long millis = mClock.millis() - mScheduler.ownershipStartMillis();
         LOG.log(LogEvent.POOLS_OPENED, mCommitter.epoch(), mScheduler.workflowCount(), millis);
@@ -319,11 +318,11 @@
         scheduleRound();
     }
 
-    private void onFormerRowsRead(Map<String, WorkflowRow> rows) {
+    private void onFormerRowsRead(Map<String, FormerWorkflow> workflows) {
         mRunFollower.stop();
         mThread.execute(
                 () -> {
-                    mFormerRows.putAll(rows);
+                    mWorkflows.putFormer(workflows);
                     mRunsRead = true;
                     startJobFollowerIfReady();
                 });
@@ -350,23 +349,12 @@
     }
 
     private void onWorkflowAccepted(WorkflowSpec spec) {
-        WorkflowRow row = mFormerRows.remove(spec.id());
-        long acceptedMillis = mStoreClock.toLocalMillis(spec.acceptedMillis());
-        if (row == null) {
-            mScheduler.addWorkflow(spec, acceptedMillis, mClock.millis());
-        } else {
-            mCommitter.recordPublishedState(spec.id(), row.state());
-            mScheduler.restoreWorkflow(spec, row, acceptedMillis, mClock.millis());
-        }
-        if (mCancelledIds.contains(spec.id())) {
-            mScheduler.cancelWorkflow(spec.id(), mClock.millis());
-        }
+        mWorkflows.onAccepted(spec);
         scheduleRound();
     }
 
     private void onWorkflowCancelled(String id) {
-        mCancelledIds.add(id);
-        mScheduler.cancelWorkflow(id, mClock.millis());
+        mWorkflows.onCancelled(id);
         scheduleRound();
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
@@ -33,7 +33,9 @@
     private final MonotonicClock mClock;
     private final StoreClock mStoreClock;
     private volatile long mLastAnswerMillis = -1;
-    private volatile LoadRow mLoad = new LoadRow(Map.of());
+
+    /** Waiting workflows by queue, by key of the row. */
+    private final Map<String, LoadRow> mLoad = new ConcurrentHashMap<>();
 
     /** Receives the owner's row. All calls come from one thread. */
     interface OwnerListener {
@@ -99,7 +101,9 @@
     }
 
     int pending(String queue) {
-        return mLoad.pending().getOrDefault(queue, 0);
+        int rowCount = mLoad.getOrDefault(Schema.LOAD_KEY, LoadRow.NONE).rowCount();
+        String key = Schema.loadKey(LoadRow.numberOf(queue, rowCount));
+        return mLoad.getOrDefault(key, LoadRow.NONE).pending().getOrDefault(queue, 0);
     }
 
     private final class StateRowListener implements TableFollower.Listener {
@@ -114,10 +118,14 @@
                                     ? Option.none()
                                     : Option.some(MessageCodec.decode(value, OwnerRow.class));
                     mOwnerListener.onOwnerRow(row, entry.version());
+                } else if (Schema.isLoadKey(key)) {
+                    LoadRow row =
+                            value == null
+                                    ? LoadRow.NONE
+                                    : MessageCodec.decode(value, LoadRow.class);
+                    mLoad.put(key, row);
                 } else if (value == null) {
                     mStates.remove(key);
-                } else if (key.equals(Schema.LOAD_KEY)) {
-                    mLoad = MessageCodec.decode(value, LoadRow.class);
                 } else {
                     mStates.put(key, share(Schema.decodeState(value)));
                 }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -42,7 +42,8 @@
                     () -> mNowMillis,
                     new IgnoringListener(),
                     mConfirmation,
-                    new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
+                    new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()),
+                    WorkflowSettings.DEFAULT_MAX_ROW_BYTES);
 
     // Guards against acknowledging the end of a run before the row of its workflow is written.
     @Test
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SchedulerFixture.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SchedulerFixture.java
@@ -58,17 +58,25 @@
 
     /** Submits a workflow of one task. */
     void submit(String id) {
+        submit(id, 1, false);
+    }
+
+    /** Submits a workflow of one step. */
+    void submit(String id, int tasks, boolean gang) {
+        mScheduler.addWorkflow(workflow(id, tasks, gang), NOW_MILLIS);
+    }
+
+    /** Returns a workflow of one step. */
+    static WorkflowSpec workflow(String id, int tasks, boolean gang) {
         StepSpec step =
                 new StepSpec(
-                        1,
+                        tasks,
                         ROOM,
                         500,
                         List.of(),
-                        false,
+                        gang,
                         StepSpec.Limits.NONE,
                         StepSpec.Behavior.PLAIN);
-        mScheduler.addWorkflow(
-                new WorkflowSpec(id, QUEUE, "", List.of(step), WorkflowSpec.Schedule.ONCE),
-                NOW_MILLIS);
+        return new WorkflowSpec(id, QUEUE, "", List.of(step), WorkflowSpec.Schedule.ONCE);
     }
 }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/WorkerPollerTest.java
@@ -47,7 +47,8 @@
                     () -> mNowMillis,
                     new IgnoringListener(),
                     new PoolOwnershipConfirmation(() -> mNowMillis, Clock.systemUTC()),
-                    new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()));
+                    new OwnerLoadMonitor(() -> SchedulerFixture.NOW_MILLIS, new WorkflowMeters()),
+                    WorkflowSettings.DEFAULT_MAX_ROW_BYTES);
     private final WorkerPoller mPoller =
             new WorkerPoller(
                     mScheduler,
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -117,7 +117,7 @@
     void run() {
         PriorityQueue<QueuedStep> queue = new PriorityQueue<>();
         for (Step step : mState.mWaitingSteps) {
-            for (QueuePolicy policy : mState.policyOf(step.mWorkflow)) {
+            for (QueuePolicy policy : mState.placementPolicyOf(step.mWorkflow)) {
                 queue.add(
                         new QueuedStep(
                                 step,
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -38,6 +38,7 @@
     private final PoolState mState;
     private final AttemptLimits mAttempts;
     private final RunTracker mRuns;
+    private final WorkflowRows mRows;
     private final LostRuns mLostRuns;
     private final PeriodicChecks mPeriodicChecks;
     private final long mOwnershipStartMillis;
@@ -60,6 +61,7 @@
         WorkerHealthTracker health = new WorkerHealthTracker(mState);
         mLostRuns = new LostRuns(mState);
         mAttempts = new AttemptLimits(mState);
+        mRows = new WorkflowRows(mState);
         mRuns = new RunTracker(mState, health, mLostRuns, mAttempts);
         mPeriodicChecks = new PeriodicChecks(mState, mLostRuns, health, nowMillis);
         mOwnershipStartMillis = nowMillis;
@@ -394,16 +396,14 @@
         new PlacementRound(mState, limits, nowMillis).run();
     }
 
-    /** Returns the row to store for a workflow, or none if the workflow is unknown. */
-    public Option<WorkflowRow> row(String id) {
-        return Option.of(mState.mWorkflows.get(id))
-                .map(workflow -> WorkflowRow.of(workflow, mState.mStoreOffset));
+    /** Returns the rows to store for the workflows. */
+    public WorkflowRows rows() {
+        return mRows;
     }
 
-    /** Returns the workspace of a workflow; empty if it has none or is not known. */
-    public String workspaceOf(String id) {
-        Workflow workflow = mState.mWorkflows.get(id);
-        return workflow == null ? "" : workflow.mSpec.workspace();
+    /** Returns the row to store for a workflow, or none if the workflow is unknown. */
+    public Option<WorkflowRow> row(String id) {
+        return mRows.row(id);
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -93,6 +93,11 @@
         return Option.of(mPolicies.get(workflow.mSpec.queue()));
     }
 
+    /** Returns the policy by which tasks of a workflow are placed, or none if none may be. */
+    Option<QueuePolicy> placementPolicyOf(Workflow workflow) {
+        return workflow.mHeld ? Option.none() : policyOf(workflow);
+    }
+
     /**
      * Returns the latest time at which a step can start for its workflow to meet its objective, in
      * milliseconds; {@link Long#MAX_VALUE} if it has none.
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -17,6 +17,9 @@
     /** Start of a run that is not known to have begun. */
     static final long NOT_BEGUN = Long.MIN_VALUE;
 
+    /** Number of crashes that are kept; a long-running task may cause any number of them. */
+    static final int MAX_PROVED_CRASHES = 8;
+
     /** Shortest time between two reports of a run from which its duration is extrapolated. */
     private static final long MIN_OBSERVED_MILLIS = 150;
 
@@ -319,6 +322,9 @@
         // The former incarnation's answer to the start may arrive after the loss.
         if (proved && mProvedCrashes.stream().noneMatch(it -> it.startsWith(run))) {
             mProvedCrashes.add("%s(%s)".formatted(run, reason));
+            if (mProvedCrashes.size() > MAX_PROVED_CRASHES) {
+                mProvedCrashes.remove(0);
+            }
         }
         // The next incarnation may still be ordered to stop this run, but has not begun it.
         mBegun = false;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
@@ -24,6 +24,9 @@
     /** Whether a worker has begun a run. The state is ACTIVE as soon as a start is decided. */
     boolean mBegun;
 
+    /** Whether no task is placed because the row of the workflow cannot be stored. */
+    boolean mHeld;
+
     String mReason = "";
 
     Workflow(WorkflowSpec spec, long acceptedMillis) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
@@ -23,6 +23,9 @@
         List<Integer> endedOccurrences,
         List<StepRow> steps,
         String reason) {
+    /** Length up to which a reason is stored. */
+    private static final int MAX_REASON_LENGTH = 2_000;
+
     /** Replaces the reason that rows of an earlier release lack. */
     public WorkflowRow {
         reason = Objects.requireNonNullElse(reason, "");
@@ -45,7 +48,17 @@
             int gangFailures,
             String checkpoint,
             List<TaskRow> tasks,
-            int lastFailedRun) {}
+            int lastFailedRun) {
+        /** Returns this step with some of its tasks. */
+        StepRow withTasks(List<TaskRow> some) {
+            return new StepRow(occurrence, step, gangFailures, checkpoint, some, lastFailedRun);
+        }
+
+        /** Returns some tasks of a step without the fields of the whole step. */
+        static StepRow slice(StepRow whole, List<TaskRow> some) {
+            return new StepRow(whole.occurrence, whole.step, 0, "", some, 0);
+        }
+    }
 
     /**
      * State of a task.
@@ -80,6 +93,26 @@
         public TaskRow {
             provedCrashes = Objects.requireNonNullElse(provedCrashes, List.of());
         }
+
+        /** Returns this task with another checkpoint. */
+        TaskRow withCheckpoint(String other) {
+            return new TaskRow(
+                    index,
+                    run,
+                    failures,
+                    done,
+                    worker,
+                    other,
+                    crashes,
+                    provedCrashes,
+                    begunMillis,
+                    incarnationMillis);
+        }
+    }
+
+    /** Returns this row without steps and occurrences, which are in the parts of the workflow. */
+    public WorkflowRow withoutSteps() {
+        return new WorkflowRow(queue, state, List.of(), List.of(), reason);
     }
 
     /**
@@ -104,7 +137,8 @@
                 workflow.mState,
                 new ArrayList<>(workflow.mEndedOccurrences),
                 steps,
-                workflow.mReason);
+                workflow.mReason.substring(
+                        0, Math.min(MAX_REASON_LENGTH, workflow.mReason.length())));
     }
 
     private static StepRow rowOf(Step step, List<TaskRow> tasks) {
