Keep the cancelling of a workflow that has no row yet

Cause: a cancelling of a workflow without a row wrote nothing. The answer 410 is an acknowledgement, but nothing kept it against a submission that took effect later: from a frozen daemon or owner, a slow store, a write carried out late, or a copy.

Change: such a cancelling is a row of the jobs table of its own, written before the answer. The owner, also a later one, cancels the workflow when it reads both rows, in any order. The key has a hash of the caller's workspace, and a row cancels only what that workspace may see. It is no workflow: it is not shown and not counted.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -75,6 +75,9 @@
     WORKFLOW_NOT_STORED(5014, Level.WARNING, "workflow held", "id", "certain", "withdrawn"),
     /** Rows of finished workflows could not be replaced by short markers. */
     COMPACTION_FAILED(5015, Level.INFO, "finished workflows not compacted", "rows", "reason"),
+    /** The owner deletes cancellations of workflows that were never submitted. */
+    EARLY_CANCELS_DELETED(
+            5016, Level.INFO, "early cancellations deleted", "partition", "rows", "outcome"),
     /** This daemon acquired the ownership of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon released or lost the ownership of the pools. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobRowReader.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobRowReader.java
@@ -5,6 +5,7 @@
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.util.MessageCodec;
 
 /** Decodes the rows of the jobs table for the owner; skips those of finished workflows. */
 final class JobRowReader implements TableFollower.Listener {
@@ -22,6 +23,12 @@
 
         /** A workflow was cancelled. */
         void onCancelled(String id);
+
+        /** A workflow was cancelled that had no row then. */
+        void onCancelledEarly(PartitionTable.Key key, long version, EarlyCancelRow row);
+
+        /** The cancellation of a workflow that had no row was deleted. */
+        void onEarlyCancelDeleted(PartitionTable.Key key);
     }
 
     JobRowReader(Listener listener) {
@@ -37,6 +44,10 @@
     public void onRow(PartitionTable.Entry entry) {
         byte[] value = entry.value();
         String key = entry.key().name();
+        if (Schema.isEarlyCancelKey(key)) {
+            onEarlyCancelRow(entry);
+            return;
+        }
         if (value == null) {
             return;
         }
@@ -53,4 +64,18 @@
             LOG.log(LogEvent.ROW_UNREADABLE, key, e.getMessage());
         }
     }
+
+    private void onEarlyCancelRow(PartitionTable.Entry entry) {
+        byte[] value = entry.value();
+        if (value == null) {
+            mListener.onEarlyCancelDeleted(entry.key());
+            return;
+        }
+        try {
+            EarlyCancelRow row = MessageCodec.decode(value, EarlyCancelRow.class);
+            mListener.onCancelledEarly(entry.key(), entry.version(), row);
+        } catch (IOException e) {
+            LOG.log(LogEvent.ROW_UNREADABLE, entry.key().name(), e.getMessage());
+        }
+    }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobWriter.java
@@ -19,9 +19,9 @@
 import org.hyssoprouter.util.MonotonicClock;
 
 /**
- * Writes rows to one partition of the jobs table. Rows are only created, never replaced: one that
- * exists already counts as written. Rows that arrive while a transaction is in flight go into the
- * next one.
+ * Writes rows to one partition of the jobs table. Workflows and their cancellations are only
+ * created, never replaced: one that exists already counts as written. Rows that arrive while a
+ * transaction is in flight go into the next one.
  */
 final class JobWriter {
     private static final EventLogger LOG = EventLogger.of(JobWriter.class);
@@ -55,13 +55,15 @@
     private static final class PendingRow {
         final String mKey;
         final byte[] mValue;
+        final boolean mReplaces;
         final long mSubmittedMillis;
         final CompletableFuture<SubmitResult> mResult = new CompletableFuture<>();
         boolean mMayBeWritten;
 
-        PendingRow(String key, byte[] value, long submittedMillis) {
+        PendingRow(String key, byte[] value, boolean replaces, long submittedMillis) {
             mKey = key;
             mValue = value;
+            mReplaces = replaces;
             mSubmittedMillis = submittedMillis;
         }
     }
@@ -86,7 +88,15 @@
 
     /** Enqueues a row to create. */
     CompletableFuture<SubmitResult> write(String key, byte[] value) {
-        PendingRow row = new PendingRow(key, value, mClock.millis());
+        return write(new PendingRow(key, value, false, mClock.millis()));
+    }
+
+    /** Enqueues a row to create or to replace. */
+    CompletableFuture<SubmitResult> replace(String key, byte[] value) {
+        return write(new PendingRow(key, value, true, mClock.millis()));
+    }
+
+    private CompletableFuture<SubmitResult> write(PendingRow row) {
         mThread.execute(
                 () -> {
                     mPendingRows.add(row);
@@ -125,7 +135,9 @@
         mSentMillis = sentMillis;
         PartitionTable.Batch batch = new PartitionTable.Batch(mPartition);
         for (PendingRow row : group) {
-            batch.check(Schema.JOBS, row.mKey, PartitionTable.ABSENT);
+            if (!row.mReplaces) {
+                batch.check(Schema.JOBS, row.mKey, PartitionTable.ABSENT);
+            }
             batch.put(Schema.JOBS, row.mKey, row.mValue);
         }
         CompletableFuture<Void> unused =
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import java.util.function.LongConsumer;
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
@@ -17,6 +18,7 @@
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.util.MessageCodec;
 import org.hyssoprouter.util.MonotonicClock;
 
 /**
@@ -48,6 +50,8 @@
     private final SubmissionGate mGate;
     private final Map<String, JobWriter> mWriters = new HashMap<>();
 
+    private final EarlyCancelLimiter mEarlyCancels;
+
     /** Duration of the last transaction with a result. */
     private volatile long mLastWriteMillis;
 
@@ -77,6 +81,7 @@
         mStates = states;
         mThread = ports.thread();
         mClock = ports.clock();
+        mEarlyCancels = new EarlyCancelLimiter(mClock);
         mMeters = ports.meters();
         mMaxRowBytes = ports.maxRowBytes();
         LongConsumer listener =
@@ -113,7 +118,7 @@
             return CompletableFuture.completedFuture(
                     recordResult(spec, tooLarge, 0, configVersion));
         }
-        return write(spec.id(), spec.id(), row)
+        return write(spec.id(), writer -> writer.write(spec.id(), row))
                 .thenApply(
                         result ->
                                 recordResult(
@@ -155,20 +160,22 @@
         mStates.recordState(spec.id(), new WorkflowStatus(WorkflowState.PENDING, spec.workspace()));
     }
 
-    private CompletableFuture<SubmitResult> write(String id, String key, byte[] value) {
+    /** Makes a write of a row of a workflow in one of its partitions. */
+    private CompletableFuture<SubmitResult> write(
+            String id, Function<JobWriter, CompletableFuture<SubmitResult>> write) {
         JobWriter writer = writerOf(Schema.jobPartition(id));
         JobWriter fallback = writerOf(Schema.fallbackJobPartition(id));
         return HedgedWrite.start(
                 mThread,
                 List.of(
-                        new HedgedWrite.Attempt(0, () -> true, () -> writer.write(key, value)),
+                        new HedgedWrite.Attempt(0, () -> true, () -> write.apply(writer)),
                         new HedgedWrite.Attempt(
                                 FALLBACK_DELAY_MILLIS,
                                 () -> !isStoreSlow(),
                                 () ->
                                         isStoreSlow()
                                                 ? CompletableFuture.completedFuture(STORE_SLOW)
-                                                : fallback.write(key, value))),
+                                                : write.apply(fallback))),
                 WRITE_LIMIT_MILLIS);
     }
 
@@ -257,7 +264,46 @@
 
     @Override
     public CompletableFuture<CancelResult> cancel(String id, String workspace) {
-        return state(id, workspace).thenCompose(current -> cancel(id, current));
+        return state(id, workspace)
+                .thenCompose(
+                        current -> {
+                            boolean hasNoRow =
+                                    current.known()
+                                            && current.state().isEmpty()
+                                            && mStates.statusOf(id).isEmpty();
+                            return hasNoRow ? cancelEarly(id, workspace) : cancel(id, current);
+                        });
+    }
+
+    /**
+     * Cancels a workflow that has no row. Its submission may be under way at another daemon or in
+     * the store, so that the cancellation must be durable before it is acknowledged.
+     */
+    private CompletableFuture<CancelResult> cancelEarly(String id, String workspace) {
+        String key = Schema.earlyCancelKey(id, workspace);
+        if (mEarlyCancels.isRepeat(key)) {
+            return CompletableFuture.completedFuture(CancelResult.ABSENT);
+        }
+        if (!mEarlyCancels.tryWrite()) {
+            LOG.log(LogEvent.WORKFLOW_CANCEL_STORED, id, "no row, too many cancellations");
+            return CompletableFuture.completedFuture(CancelResult.UNKNOWN);
+        }
+        long nowMillis = mClock.millis();
+        byte[] row =
+                MessageCodec.encode(new EarlyCancelRow(workspace, mStates.storeClock().millis()));
+        return write(id, writer -> writer.replace(key, row))
+                .thenApply(
+                        result -> {
+                            LOG.log(
+                                    LogEvent.WORKFLOW_CANCEL_STORED,
+                                    id,
+                                    "no row " + result.verdict() + " " + result.reason());
+                            if (result.verdict() != Verdict.RAN) {
+                                return CancelResult.UNKNOWN;
+                            }
+                            mEarlyCancels.recordWritten(key, nowMillis);
+                            return CancelResult.ABSENT;
+                        });
     }
 
     private CompletableFuture<CancelResult> cancel(String id, StateResult current) {
@@ -272,7 +318,7 @@
             return CompletableFuture.completedFuture(
                     state == WorkflowState.CANCELLED ? CancelResult.DONE : CancelResult.ABSENT);
         }
-        return write(id, Schema.cancelKey(id), CANCELLED)
+        return write(id, writer -> writer.write(Schema.cancelKey(id), CANCELLED))
                 .thenApply(
                         result -> {
                             LOG.log(
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -18,7 +18,6 @@
 import org.hyssoprouter.lib.workflow.PoolConfig;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.WorkerEntry;
-import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.transport.PartitionTable;
 import org.hyssoprouter.transport.TaskRunner;
 import org.hyssoprouter.util.MonotonicClock;
@@ -93,7 +92,15 @@
                         confirmation,
                         mLoadMonitor,
                         settings.maxRowBytes());
-        mWorkflows = new AcceptedWorkflows(mScheduler, mCommitter.changes(), mClock, mStoreClock);
+        mWorkflows =
+                new AcceptedWorkflows(
+                        mScheduler,
+                        mCommitter.changes(),
+                        new EarlyCancels(ports.table(), mThread, mClock, mStoreClock),
+                        mThread,
+                        mClock,
+                        mStoreClock,
+                        events);
         mWorkerPoller =
                 new WorkerPoller(
                         mScheduler,
@@ -137,7 +144,7 @@
                                 Schema.jobPartitions(),
                                 READ_WAIT_MILLIS,
                                 JOB_READ_PAUSE_MILLIS),
-                        new JobRowReader(new JobListener()));
+                        new JobRowReader(mWorkflows));
         mOpeningGuard = new OpeningGuard(mClock, mCommitter, ports.meters(), this::releaseNow);
         mCompactor = new FinishedWorkflowCompactor(ports.table(), mThread, mClock);
         mWorkerFollower = followWorkers(ports, settings);
@@ -239,6 +246,7 @@
         mCompactor.compactIfDue();
         if (mPlacing) {
             mScheduler.tick(mClock.millis(), mTimeOfDay.millis());
+            mWorkflows.deleteExpiredCancels();
         }
         runRound();
         measureLoad();
@@ -328,36 +336,6 @@
                 });
     }
 
-    /** Passes accepted workflows and cancellations to the scheduler. */
-    private final class JobListener implements JobRowReader.Listener {
-        @Override
-        public void onSynced() {
-            if (!mPlacing) {
-                mThread.execute(PoolOwner.this::startPlacement);
-            }
-        }
-
-        @Override
-        public void onAccepted(WorkflowSpec spec) {
-            mThread.execute(() -> onWorkflowAccepted(spec));
-        }
-
-        @Override
-        public void onCancelled(String id) {
-            mThread.execute(() -> onWorkflowCancelled(id));
-        }
-    }
-
-    private void onWorkflowAccepted(WorkflowSpec spec) {
-        mWorkflows.onAccepted(spec);
-        scheduleRound();
-    }
-
-    private void onWorkflowCancelled(String id) {
-        mWorkflows.onCancelled(id);
-        scheduleRound();
-    }
-
     /** Passes changes of the worker list to the scheduler. */
     private final class WorkerChangeListener implements WorkerListReader.Listener {
         @Override
@@ -385,9 +363,24 @@
         }
     }
 
-    /** Handles the events of the committer, the worker poller and the run dispatcher. */
+    /** Handles the events of the classes that the owner consists of. */
     private final class ComponentListener
-            implements OwnerCommitter.Listener, WorkerPoller.Listener, RunDispatcher.Listener {
+            implements OwnerCommitter.Listener,
+                    WorkerPoller.Listener,
+                    RunDispatcher.Listener,
+                    AcceptedWorkflows.Listener {
+        @Override
+        public void onWorkflowsChanged() {
+            scheduleRound();
+        }
+
+        @Override
+        public void onWorkflowsRead() {
+            if (!mPlacing) {
+                mThread.execute(PoolOwner.this::startPlacement);
+            }
+        }
+
         @Override
         public void onStartsDurable(List<TaskStart> starts) {
             starts.forEach(start -> mRunDispatcher.sendStart(start, mCommitter.epoch()));
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Schema.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/Schema.java
@@ -5,7 +5,10 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.ArrayList;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.zip.DeflaterOutputStream;
 import java.util.zip.InflaterInputStream;
@@ -60,6 +63,7 @@
     /** Separates the name of a part; identifiers of workflows are hexadecimal digits. */
     private static final char PART_SEPARATOR = '!';
 
+    private static final String EARLY_CANCEL_INFIX = "!early!";
     private static final String CANCEL_SUFFIX = "!cancel";
 
     private Schema() {}
@@ -181,6 +185,35 @@
         }
     }
 
+    /**
+     * Returns the key of the cancellation of a workflow that has no row. Each workspace has its
+     * own, because only that of the workflow may cancel it.
+     */
+    static String earlyCancelKey(String id, String workspace) {
+        return id + EARLY_CANCEL_INFIX + hashOf(workspace);
+    }
+
+    static boolean isEarlyCancelKey(String key) {
+        return key.contains(EARLY_CANCEL_INFIX);
+    }
+
+    static String workflowIdOfEarlyCancelKey(String key) {
+        return key.substring(0, key.indexOf(EARLY_CANCEL_INFIX));
+    }
+
+    /** Returns a text of bounded length; names of workspaces may be longer than a key. */
+    private static String hashOf(String workspace) {
+        if (workspace.isEmpty()) {
+            return "";
+        }
+        try {
+            byte[] name = workspace.getBytes(StandardCharsets.UTF_8);
+            return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(name));
+        } catch (NoSuchAlgorithmException e) {
+            throw new IllegalStateException("SHA-256 is not available", e);
+        }
+    }
+
     static boolean isCancelKey(String key) {
         return key.endsWith(CANCEL_SUFFIX);
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
@@ -40,6 +40,7 @@
 
     private final SteppedExecutor mThread = new SteppedExecutor();
     private final LimitedTable mTable = new LimitedTable();
+    private final StoreClock mStoreClock = new StoreClock(mThread);
     private final List<TaskStart> mStarts = new ArrayList<>();
     private final Map<String, WorkflowState> mStates = new HashMap<>();
     private int mRefusedCount;
@@ -206,9 +207,16 @@
         mCommitter = newOwner(epoch);
         AcceptedWorkflows accepted =
                 new AcceptedWorkflows(
-                        mScheduler, mCommitter.changes(), mThread, new StoreClock(mThread));
+                        mScheduler,
+                        mCommitter.changes(),
+                        new EarlyCancels(mTable, mThread, mThread, mStoreClock),
+                        mThread,
+                        mThread,
+                        mStoreClock,
+                        new IgnoringListener());
         accepted.putFormer(readRows());
         accepted.onAccepted(SchedulerFixture.workflow(LARGE, TASKS, false));
+        mThread.advance(0);
         accepted.deleteLeftovers();
     }
 
@@ -370,6 +378,14 @@
         }
     }
 
+    private static final class IgnoringListener implements AcceptedWorkflows.Listener {
+        @Override
+        public void onWorkflowsChanged() {}
+
+        @Override
+        public void onWorkflowsRead() {}
+    }
+
     private final class RecordingListener implements OwnerCommitter.Listener {
         @Override
         public void onStartsDurable(List<TaskStart> starts) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRows.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRows.java
@@ -19,6 +19,11 @@
         mState = state;
     }
 
+    /** Returns whether a workflow is known. */
+    public boolean contains(String id) {
+        return mState.mWorkflows.containsKey(id);
+    }
+
     /** Returns the row to store for a workflow, or none if the workflow is unknown. */
     public Option<WorkflowRow> row(String id) {
         return Option.of(mState.mWorkflows.get(id))
