Send the same row with each repeat of a probing commit

Cause: a probe whose answer was lost may take effect after the next one was sent. The two could differ in the count of unopened ownerships, and the owner would have taken the former one's row for that of another owner. By reading; not seen. Change: a repeat writes the same row.

Measured: LargeWorkflowTest.lostAnswersLoseNoStart (1 to 29 lost answers in a row) passes before and after.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -104,6 +104,10 @@
         long sentMillis() {
             return sent.monotonicMillis();
         }
+
+        CommitGroup sentAt(PoolOwnershipConfirmation.Moment moment) {
+            return new CommitGroup(changes, row, moment);
+        }
     }
 
     OwnerCommitter(
@@ -318,12 +322,17 @@
      * certain to have no effect.
      */
     private void sendProbe(CommitGroup group) {
-        if (!mClosed) {
-            CommitGroup probe =
-                    newGroup(PendingChanges.Group.empty(), mRow.nextCommit().nextCommit());
-            mProbe = probe;
-            call(group, probe);
+        if (mClosed) {
+            return;
         }
+        CommitGroup former = mProbe;
+        // A repeat writes the same row, so that it is recognized if the former one takes effect.
+        CommitGroup probe =
+                former == null
+                        ? newGroup(PendingChanges.Group.empty(), mRow.nextCommit().nextCommit())
+                        : former.sentAt(mConfirmation.now());
+        mProbe = probe;
+        call(group, probe);
     }
 
     private void logRetry(CommitGroup group, TableError error) {
@@ -341,7 +350,7 @@
 
     private void resend(CommitGroup group) {
         if (!mClosed) {
-            CommitGroup again = new CommitGroup(group.changes(), group.row(), mConfirmation.now());
+            CommitGroup again = group.sentAt(mConfirmation.now());
             call(again, again);
         }
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
@@ -360,6 +360,20 @@
         assertEquals(300, startCount(LARGE));
     }
 
+    // Guards against an owner that takes itself for replaced, or loses starts, as a commit whose
+    // answer was lost had taken effect.
+    @Test
+    void lostAnswersLoseNoStart() {
+        for (int lost = 1; lost < 30; lost++) {
+            String id = "small" + lost;
+            mTable.loseAnswers(lost);
+            mFixture.submit(id);
+            place();
+            commit(5 * lost + 15);
+            assertEquals(1, startCount(id), id);
+        }
+    }
+
     // Guards against a workflow that is held, as the store was down for all for a while.
     @ParameterizedTest
     @EnumSource(
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LimitedTable.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LimitedTable.java
@@ -28,6 +28,7 @@
     private long mVersion;
     private int mTooLargeCount;
     private int mCommitCount;
+    private int mLostAnswers;
     private int mAnsweredCount = Integer.MAX_VALUE;
     private Runnable mAfterCommit = () -> {};
     private BiFunction<Write, Integer, @Nullable TableError> mFault = (write, commit) -> null;
@@ -52,6 +53,11 @@
         mAnsweredCount = mCommitCount + count;
     }
 
+    /** Loses the answers of the next transactions, which take effect. */
+    void loseAnswers(int count) {
+        mLostAnswers = count;
+    }
+
     /** Answers all transactions again. */
     void answerAll() {
         mAnsweredCount = Integer.MAX_VALUE;
@@ -90,7 +96,12 @@
         if (mCommitCount > mAnsweredCount) {
             return new CompletableFuture<>();
         }
-        return CompletableFuture.completedFuture(apply(batch));
+        Either<CommitFailure, CommitResult> result = apply(batch);
+        if (mLostAnswers > 0) {
+            mLostAnswers--;
+            return CompletableFuture.completedFuture(CommitFailure.unknownOutcome("lost"));
+        }
+        return CompletableFuture.completedFuture(result);
     }
 
     private Either<CommitFailure, CommitResult> apply(Batch batch) {
