--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -136,20 +136,23 @@
                         new TableFollower.Subscription(
                                 Schema.RUNS, List.of(Schema.POOLS_PARTITION), READ_WAIT_MILLIS, 0),
                         new FormerRunReader(this::onFormerRowsRead));
-        mJobFollower =
-                new TableFollower(
-                        ports.table(),
-                        new TableFollower.Subscription(
-                                Schema.JOBS,
-                                Schema.jobPartitions(),
-                                READ_WAIT_MILLIS,
-                                JOB_READ_PAUSE_MILLIS),
-                        new JobRowReader(mWorkflows));
+        mJobFollower = followJobs(ports.table(), mWorkflows);
         mOpeningGuard = new OpeningGuard(mClock, mCommitter, ports.meters(), this::releaseNow);
         mCompactor = new FinishedWorkflowCompactor(ports.table(), mThread, mClock);
         mWorkerFollower = followWorkers(ports, settings);
     }
 
+    private static TableFollower followJobs(PartitionTable table, JobRowReader.Listener workflows) {
+        return new TableFollower(
+                table,
+                new TableFollower.Subscription(
+                        Schema.JOBS,
+                        Schema.jobPartitions(),
+                        READ_WAIT_MILLIS,
+                        JOB_READ_PAUSE_MILLIS),
+                new JobRowReader(workflows));
+    }
+
     private TableFollower followWorkers(Ports ports, WorkflowSettings settings) {
         return new TableFollower(
                 ports.table(),
