Cancel a workflow whose row is stored while it is looked for

Callers would have seen: 410, and a job that runs. Cause: the row was read as absent, and the state of the workflow arrived before the answer was handled. The caller was answered by the first, while the second kept the early cancelling from being written. Change: what the states say by then decides. A workflow that is left out takes starts back that were placed since the last commit, too (by reading).

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -264,15 +264,17 @@
 
     @Override
     public CompletableFuture<CancelResult> cancel(String id, String workspace) {
-        return state(id, workspace)
-                .thenCompose(
-                        current -> {
-                            boolean hasNoRow =
-                                    current.known()
-                                            && current.state().isEmpty()
-                                            && mStates.statusOf(id).isEmpty();
-                            return hasNoRow ? cancelEarly(id, workspace) : cancel(id, current);
-                        });
+        return state(id, workspace).thenCompose(read -> cancel(id, workspace, read));
+    }
+
+    private CompletableFuture<CancelResult> cancel(String id, String workspace, StateResult read) {
+        // The row may have been stored since it was read, and the states tell so.
+        Option<WorkflowStatus> status = mStates.statusOf(id);
+        if (status.isDefined()) {
+            return cancel(id, toStateResult(id, status.get(), workspace));
+        }
+        boolean isAbsent = read.known() && read.state().isEmpty();
+        return isAbsent ? cancelEarly(id, workspace) : cancel(id, read);
     }
 
     /**
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
@@ -165,6 +165,7 @@
     }
 
     private void leaveOut(String id, boolean certain) {
+        collect();
         List<TaskStart> withdrawn = mStarts.remove(id);
         mEnds.forget(id);
         mScheduler.rows().hold(id, withdrawn, mClock.millis());
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
@@ -159,6 +159,18 @@
         assertEquals(WorkflowState.CANCELLED, state());
     }
 
+    // Guards against a cancelling without effect: the workflow is stored and its state read while
+    // its row is looked for.
+    @Test
+    void workflowThatIsStoredDuringItsCancelIsCancelled() {
+        LocalWorkflowService daemon = newDaemon();
+        mTable.afterRead(() -> daemon.recordAccepted(spec("a")));
+        assertEquals(WorkflowService.CancelResult.DONE, cancel(daemon, "a"));
+        submit(newDaemon(), "a");
+        follow();
+        assertEquals(WorkflowState.CANCELLED, state());
+    }
+
     // Fault: the owner is lost between the cancelling and the submission.
     @Test
     void nextOwnerKnowsTheCancel() {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LimitedTable.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LimitedTable.java
@@ -31,6 +31,7 @@
     private int mLostAnswers;
     private int mAnsweredCount = Integer.MAX_VALUE;
     private Runnable mAfterCommit = () -> {};
+    private Runnable mAfterRead = () -> {};
     private BiFunction<Write, Integer, @Nullable TableError> mFault = (write, commit) -> null;
 
     private static int compareKeys(Key a, Key b) {
@@ -43,6 +44,11 @@
         mAfterCommit = check;
     }
 
+    /** Runs after each read, before its answer. */
+    void afterRead(Runnable change) {
+        mAfterRead = change;
+    }
+
     /** Refuses the transactions with a write for which the function returns an error. */
     void refuse(BiFunction<Write, Integer, @Nullable TableError> fault) {
         mFault = fault;
@@ -166,6 +172,7 @@
                                                 || it.key().name().compareTo(range.to()) < 0)
                         .limit(range.limit())
                         .toList();
+        mAfterRead.run();
         return CompletableFuture.completedFuture(
                 Either.right(new Page(entries, false, mVersion, 1)));
     }
