Let a wide step cost what runs and waits, not what it is wide

The limit of 100,000 tasks let such jobs in.

Cause, by 25 samples of the owner's thread: 22 in Step.isDone, which counted all tasks of the step at each end of a run, 100,000 each for 5,000 ends a second. The owner did not commit for 2 to 3 s and was replaced; the next one fared the same. Full collections took 60 ms each beside it, as each task was an object from the acceptance on.

Change: phases are counted as they change. A step makes its tasks when they are needed, in order, and lets go of leading ones that are done; a round places at most 256 tasks of a step that is no gang. The parts of a divided workflow are slices of one step; leading slices that are done are a number in the part of the step, so that neither rows nor memory nor a takeover grow with the width. Parts are compared with what is durable field by field, without a copy. Rows are deleted only after what says that they are not needed: the ended occurrence, the number of done tasks, the final state, or the row that replaces an undivided one (by reading: a new owner could have run ended tasks again).

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/CommitRows.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/CommitRows.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -13,6 +12,7 @@
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
 import org.hyssoprouter.internal.workflow.WorkflowPartRow;
+import org.hyssoprouter.internal.workflow.WorkflowParts;
 import org.hyssoprouter.internal.workflow.WorkflowRow;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.WorkflowState;
@@ -153,20 +153,12 @@
     /** Returns the names of the rows that are to be written for a workflow. */
     Set<String> waitingRows(String id) {
         DividedWorkflow divided = mDivided.get(id);
-        Option<WorkflowRow> row = divided == null ? Option.none() : mScheduler.row(id);
-        if (divided == null || row.isEmpty()) {
+        Option<WorkflowRow> main = divided == null ? Option.none() : mScheduler.rows().mainRow(id);
+        if (divided == null || main.isEmpty()) {
             return Set.of(DividedWorkflow.MAIN);
         }
-        divided.update(row.get());
-        return remainingRows(divided);
-    }
-
-    private static Set<String> remainingRows(DividedWorkflow divided) {
-        Set<String> names = new HashSet<>(divided.waitingParts());
-        if (divided.isMainChanged()) {
-            names.add(DividedWorkflow.MAIN);
-        }
-        return names;
+        divided.update(main.get());
+        return divided.remaining();
     }
 
     /** Returns whether a commit makes the row with a task's run durable. */
@@ -179,8 +171,8 @@
         Set<String> remaining = included.mRemaining.get(id);
         return divided != null
                 && remaining != null
-                && !remaining.contains(divided.nameOf(task))
-                && !(divided.isMainFirst() && remaining.contains(DividedWorkflow.MAIN));
+                && !remaining.contains(WorkflowParts.nameOf(task))
+                && (divided.isUndividedDurable() || !remaining.contains(DividedWorkflow.MAIN));
     }
 
     /**
@@ -252,23 +244,19 @@
             if (included.mComplete.contains(id) || included.mRemaining.containsKey(id)) {
                 continue;
             }
-            Option<WorkflowRow> row = mScheduler.row(id);
-            if (row.isEmpty()) {
-                included.mComplete.add(id);
+            if (mScheduler.rows().contains(id)) {
+                putWorkflow(batch, id, included, budget);
             } else {
-                putWorkflow(batch, id, row.get(), included, budget);
+                included.mComplete.add(id);
             }
         }
     }
 
     private void putWorkflow(
-            PartitionTable.Batch batch,
-            String id,
-            WorkflowRow row,
-            Included included,
-            Budget budget) {
+            PartitionTable.Batch batch, String id, Included included, Budget budget) {
         DividedWorkflow divided = mDivided.get(id);
         if (divided == null) {
+            WorkflowRow row = mScheduler.row(id).get();
             byte[] encoded = MessageCodec.encode(row);
             if (encoded.length <= Math.min(MAX_UNDIVIDED_BYTES, mMaxRowBytes / 2)) {
                 putMain(batch, id, row, encoded, included);
@@ -277,8 +265,8 @@
             }
             divided = divide(id);
         }
-        divided.update(row);
-        Set<String> remaining = putDivided(batch, id, row, divided, included, budget);
+        divided.update(mScheduler.rows().mainRow(id).get());
+        Set<String> remaining = putDivided(batch, id, divided, included, budget);
         if (remaining.isEmpty()) {
             included.mComplete.add(id);
         } else {
@@ -295,42 +283,49 @@
         return divided;
     }
 
-    /** Adds rows of a divided workflow. Returns the names of those that are left to write. */
+    /**
+     * Adds rows of a divided workflow, each after those that it relies on. Returns the names of
+     * those that are left to write.
+     */
     private Set<String> putDivided(
             PartitionTable.Batch batch,
             String id,
-            WorkflowRow row,
             DividedWorkflow divided,
             Included included,
             Budget budget) {
-        Set<String> remaining = remainingRows(divided);
-        WorkflowRow main = row.withoutSteps();
-        boolean mainFirst = divided.isMainFirst();
+        Set<String> remaining = divided.remaining();
+        boolean mainFirst = !divided.isUndividedDurable();
+        List<String> names = new ArrayList<>();
+        if (mainFirst && divided.isMainChanged()) {
+            names.add(DividedWorkflow.MAIN);
+        }
+        names.addAll(divided.guards());
         if (mainFirst) {
-            putDividedMain(batch, id, main, divided, included);
-            remaining.remove(DividedWorkflow.MAIN);
+            names.addAll(divided.deletions());
+            names.addAll(divided.slices());
+        } else {
+            names.addAll(divided.slices());
+            names.add(DividedWorkflow.MAIN);
+            names.addAll(divided.deletions());
         }
-        for (String name : divided.waitingParts()) {
-            if (!budget.allows(batch, included, 1)) {
+        for (String name : names) {
+            boolean isMain = name.equals(DividedWorkflow.MAIN);
+            if (!budget.allows(batch, included, isMain ? ROWS_PER_WORKFLOW : 1)) {
                 return remaining;
             }
-            putPart(batch, id, name, divided, included);
+            if (isMain) {
+                putDividedMain(batch, id, divided, included);
+            } else {
+                putPart(batch, id, name, divided, included);
+            }
             remaining.remove(name);
         }
-        if (remaining.contains(DividedWorkflow.MAIN)
-                && budget.allows(batch, included, ROWS_PER_WORKFLOW)) {
-            putDividedMain(batch, id, main, divided, included);
-            remaining.remove(DividedWorkflow.MAIN);
-        }
         return remaining;
     }
 
     private void putDividedMain(
-            PartitionTable.Batch batch,
-            String id,
-            WorkflowRow main,
-            DividedWorkflow divided,
-            Included included) {
+            PartitionTable.Batch batch, String id, DividedWorkflow divided, Included included) {
+        WorkflowRow main = divided.main();
         putMain(batch, id, main, MessageCodec.encode(main), included);
         included.mRecords.add(() -> divided.recordMain(main));
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
@@ -68,7 +68,14 @@
 
     private void place() {
         mFixture.report(mThread.millis());
-        mScheduler.place(mThread.millis());
+        placeAll();
+    }
+
+    /** Runs rounds until no task waits; each places a part of a wide step. */
+    private void placeAll() {
+        for (int i = 0; i <= TASKS / 200; i++) {
+            mScheduler.place(mThread.millis());
+        }
     }
 
     private void commit() {
@@ -97,6 +104,9 @@
         if (workflow != null) {
             for (WorkflowRow.StepRow step : workflow.row().steps()) {
                 step.tasks().forEach(it -> indexes.add(it.index()));
+                for (int index = 0; index < step.doneBelow(); index++) {
+                    indexes.add(index);
+                }
             }
         }
         return indexes;
@@ -144,7 +154,7 @@
     void allTasksOfALargeWorkflowStartBesideOthers() {
         mFixture.submit(LARGE, TASKS, false);
         mFixture.submit(SMALL);
-        mScheduler.place(mThread.millis());
+        placeAll();
         mTable.afterCommit(this::assertStartsAreStored);
         commit();
         assertEquals(0, mTable.tooLargeCount());
@@ -158,9 +168,9 @@
     @Test
     void smallWorkflowWaitsForOneCommitOfALargeOne() {
         mFixture.submit(LARGE, TASKS, false);
-        mScheduler.place(mThread.millis());
+        placeAll();
         mFixture.submit(SMALL);
-        mScheduler.place(mThread.millis());
+        placeAll();
         mTable.answerOnly(2);
         commit();
         assertEquals(1, startCount(SMALL));
@@ -170,7 +180,7 @@
     @Test
     void startsOfALargeGangAreSentTogether() {
         mFixture.submit(LARGE, TASKS, true);
-        mScheduler.place(mThread.millis());
+        placeAll();
         mTable.afterCommit(() -> assertTrue(startCount(LARGE) == 0 || startCount(LARGE) == TASKS));
         commit();
         assertEquals(TASKS, startCount(LARGE));
@@ -181,7 +191,7 @@
     @Test
     void newOwnerKnowsAllStartsIfTheFormerOneIsLostInBetween() {
         mFixture.submit(LARGE, TASKS, false);
-        mScheduler.place(mThread.millis());
+        placeAll();
         mTable.answerOnly(1);
         commit();
         assertTrue(startCount(LARGE) > 0 && startCount(LARGE) < TASKS);
@@ -192,7 +202,7 @@
         assertTrue(storedTasks(LARGE).containsAll(started));
         report(mStarts.stream().map(TaskStart::task).toList());
         mStarts.clear();
-        mScheduler.place(mThread.millis());
+        placeAll();
         mTable.afterCommit(this::assertStartsAreStored);
         commit();
         mStarts.forEach(it -> assertFalse(started.contains(it.task().index())));
@@ -242,7 +252,7 @@
         assertTrue(row.length <= LimitedTable.MAX_ROW_BYTES, "row of " + row.length + " bytes");
         mTable.put(Schema.RUNS, Schema.POOLS_PARTITION, LARGE, row);
         takeOver(2);
-        mScheduler.place(mThread.millis());
+        placeAll();
         Set<Integer> restored = new HashSet<>();
         tasks.forEach(it -> restored.add(it.index()));
         mTable.afterCommit(
@@ -260,7 +270,7 @@
     @Test
     void finishedLargeWorkflowLeavesOneRow() {
         mFixture.submit(LARGE, TASKS, false);
-        mScheduler.place(mThread.millis());
+        placeAll();
         commit();
         List<TaskStart> starts = List.copyOf(mStarts);
         accept(starts);
@@ -278,7 +288,7 @@
     @Test
     void newOwnerDeletesRowsOfAFinishedLargeWorkflow() {
         mFixture.submit(LARGE, TASKS, false);
-        mScheduler.place(mThread.millis());
+        placeAll();
         commit();
         accept(mStarts);
         end(List.copyOf(mStarts).stream().map(TaskStart::task).toList());
@@ -297,7 +307,7 @@
     @Test
     void endsBecomeDurableWhileALargeWorkflowChanges() {
         mFixture.submit(LARGE, TASKS, false);
-        mScheduler.place(mThread.millis());
+        placeAll();
         commit();
         List<TaskStart> starts = List.copyOf(mStarts);
         accept(starts);
@@ -336,11 +346,11 @@
     void workflowWhoseRowIsRefusedKeepsNoOtherFromRunning(TableError.Kind kind) {
         mTable.refuse((write, commit) -> isRowOf(write, LARGE) ? errorOf(kind) : null);
         mFixture.submit(LARGE, 300, false);
-        mScheduler.place(mThread.millis());
+        placeAll();
         for (int i = 0; i < 60; i++) {
             mFixture.submit("small" + i);
         }
-        mScheduler.place(mThread.millis());
+        placeAll();
         commit(1_000);
         for (int i = 0; i < 60; i++) {
             assertEquals(1, startCount("small" + i), "small" + i);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -4,7 +4,6 @@
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.PriorityQueue;
@@ -392,8 +391,7 @@
         mStartingSteps++;
         mStartedRuns += plan.size();
         releaseUsedReservations(step, plan);
-        Map<Task, Integer> runs = new LinkedHashMap<>();
-        plan.keySet().forEach(task -> runs.put(task, step.nextRun(task)));
+        Map<Task, Integer> runs = step.nextRuns(plan.keySet());
         Room room = WorkerSelector.requiredRoom(step.mSpec);
         int urgency = urgency(step);
         plan.forEach(
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -151,7 +151,7 @@
         return Option.some(new WorkspaceRoom(workflow.mSpec.workspace(), room));
     }
 
-    /** Returns a task, or null if it is unknown or its occurrence is closed. */
+    /** Returns a task, or null if it has not started or it or its occurrence is not held. */
     @Nullable Task findTask(TaskKey key) {
         Workflow workflow = mWorkflows.get(key.step().workflow());
         if (workflow == null) {
@@ -161,8 +161,7 @@
         if (steps == null || key.step().step() >= steps.size()) {
             return null;
         }
-        List<Task> tasks = steps.get(key.step().step()).mTasks;
-        return key.index() < tasks.size() ? tasks.get(key.index()) : null;
+        return steps.get(key.step().step()).heldTask(key.index());
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -296,7 +296,7 @@
             }
             // The end of one member completes the gang; each member keeps its room until its own
             // run is no longer reported.
-            step.mTasks.forEach(member -> member.setPhase(Task.Phase.DONE, nowMillis));
+            step.completeAll(nowMillis);
         } else if (!isCurrentRun) {
             mState.stopRun(task, "an earlier run has completed", nowMillis);
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -1,7 +1,10 @@
 package org.hyssoprouter.internal.workflow;
 
 import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumMap;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.hyssoprouter.lib.Room;
@@ -11,11 +14,28 @@
 
 /** Step in one occurrence of a workflow, with its tasks and their approvals and reservations. */
 final class Step {
+    /** Number of tasks of a step that a round places, unless they form a gang. */
+    static final int MAX_PLACEABLE = 256;
+
     final Workflow mWorkflow;
     final StepKey mKey;
     final StepSpec mSpec;
+
+    /**
+     * Tasks from the first one that may still change to the last one that was needed so far. The
+     * tasks after them have not started; those before them are done.
+     */
     final List<Task> mTasks = new ArrayList<>();
 
+    /** Number of tasks before {@link #mTasks}, which are done. */
+    private int mDoneBelow;
+
+    /** Number of tasks in each phase, without those that were not needed yet. */
+    private final Map<Task.Phase, Integer> mCounts = new EnumMap<>(Task.Phase.class);
+
+    /** Position in {@link #mTasks} before which all tasks are done and have no room. */
+    private int mFirstOpen;
+
     /** Name of the kind of the tasks, by which their progress is compared. */
     final String mKind;
 
@@ -50,44 +70,127 @@
         mKey = key;
         mSpec = spec;
         mKind = TaskKinds.nameOf(workflow.mSpec.queue(), spec);
-        for (int i = 0; i < spec.taskCount(); i++) {
-            mTasks.add(new Task(this, i));
+    }
+
+    /** Returns the number of leading tasks that are done and are not held any more. */
+    int doneBelow() {
+        return mDoneBelow;
+    }
+
+    /** Returns a task, or null if it is done and not held any more, or was not needed yet. */
+    @Nullable Task heldTask(int index) {
+        int position = index - mDoneBelow;
+        return position >= 0 && position < mTasks.size() ? mTasks.get(position) : null;
+    }
+
+    /** Returns a task that is not known to be done. Those before it are needed from now on, too. */
+    Task task(int index) {
+        createTasks(index + 1);
+        return mTasks.get(index - mDoneBelow);
+    }
+
+    private void createTasks(int endIndex) {
+        for (int index = mDoneBelow + mTasks.size(); index < endIndex; index++) {
+            mTasks.add(new Task(this, index));
+            mCounts.merge(Task.Phase.WAITING, 1, Integer::sum);
         }
     }
 
-    boolean isDone() {
-        return count(Task.Phase.DONE) == mTasks.size();
+    /** Records that the leading tasks were done under a former owner. */
+    void restoreDoneBelow(int count) {
+        mDoneBelow = count;
+        mCounts.merge(Task.Phase.DONE, count, Integer::sum);
     }
 
-    int count(Task.Phase phase) {
-        int count = 0;
-        for (Task task : mTasks) {
-            if (task.mPhase == phase) {
-                count++;
+    /**
+     * Lets go of leading tasks that are done, in multiples of a number, so that a wide step takes
+     * memory for what runs and waits, not for what has ended.
+     */
+    void dropDone(int multiple) {
+        if (mSpec.gang()) {
+            return;
+        }
+        advanceFirstOpen();
+        int count = mFirstOpen / multiple * multiple;
+        mTasks.subList(0, count).clear();
+        mDoneBelow += count;
+        mFirstOpen -= count;
+    }
+
+    private void advanceFirstOpen() {
+        while (mFirstOpen < mTasks.size()) {
+            Task task = mTasks.get(mFirstOpen);
+            if (task.mPhase != Task.Phase.DONE || task.occupies()) {
+                return;
             }
+            mFirstOpen++;
         }
-        return count;
+    }
+
+    /** Returns the tasks that were needed so far, without leading ones that are done. */
+    private List<Task> openTasks() {
+        advanceFirstOpen();
+        return mTasks.subList(mFirstOpen, mTasks.size());
+    }
+
+    /** Counts the change of a task's phase. */
+    void onPhaseChanged(Task.Phase from, Task.Phase to) {
+        mCounts.merge(from, -1, Integer::sum);
+        mCounts.merge(to, 1, Integer::sum);
+    }
+
+    boolean isDone() {
+        return count(Task.Phase.DONE) == mSpec.taskCount();
+    }
+
+    int count(Task.Phase phase) {
+        int notNeeded = mSpec.taskCount() - mDoneBelow - mTasks.size();
+        return mCounts.getOrDefault(phase, 0) + (phase == Task.Phase.WAITING ? notNeeded : 0);
+    }
+
+    /** Marks all tasks as done. */
+    void completeAll(long nowMillis) {
+        createTasks(mSpec.taskCount());
+        mTasks.forEach(task -> task.setPhase(Task.Phase.DONE, nowMillis));
     }
 
     /**
-     * Returns the tasks that wait for a run and may get one now. For a gang, returns none unless
-     * all members wait. Of other steps, suspects run first: their tasks are much alike, and all of
-     * them may crash workers.
+     * Returns the tasks that wait for a run and may get one now, at most {@link #MAX_PLACEABLE}.
+     * For a gang, returns none unless all members wait, and then all of them. Of other steps,
+     * suspects run first: their tasks are much alike, and all of them may crash workers.
      */
     List<Task> placeableTasks() {
+        if (mSpec.gang()) {
+            if (count(Task.Phase.WAITING) < mSpec.taskCount()) {
+                return List.of();
+            }
+            createTasks(mSpec.taskCount());
+            return new ArrayList<>(mTasks);
+        }
         List<Task> waiting = new ArrayList<>();
+        List<Task> suspects = new ArrayList<>();
         boolean hasTrials = false;
-        for (Task task : mTasks) {
+        for (Task task : openTasks()) {
             if (task.mPhase == Task.Phase.WAITING) {
                 waiting.add(task);
+                if (task.isSuspect()) {
+                    suspects.add(task);
+                }
             }
             hasTrials |= task.isOnTrial();
         }
-        if (mSpec.gang()) {
-            return waiting.size() < mTasks.size() ? List.of() : waiting;
+        if (!suspects.isEmpty() || hasTrials) {
+            return firstOf(suspects);
+        }
+        int missing = Math.min(MAX_PLACEABLE, count(Task.Phase.WAITING)) - waiting.size();
+        for (int i = 0; i < missing; i++) {
+            waiting.add(task(mDoneBelow + mTasks.size()));
         }
-        List<Task> suspects = waiting.stream().filter(Task::isSuspect).toList();
-        return suspects.isEmpty() && !hasTrials ? waiting : suspects;
+        return firstOf(waiting);
+    }
+
+    private static List<Task> firstOf(List<Task> tasks) {
+        return tasks.subList(0, Math.min(MAX_PLACEABLE, tasks.size()));
     }
 
     /**
@@ -101,7 +204,7 @@
     /** Returns the highest number of crashes that are blamed on a task that waits for a run. */
     int waitingCrashes() {
         int crashes = 0;
-        for (Task task : mTasks) {
+        for (Task task : openTasks()) {
             if (task.mPhase == Task.Phase.WAITING) {
                 crashes = Math.max(crashes, task.mCrashes);
             }
@@ -109,16 +212,19 @@
         return crashes;
     }
 
-    /** Returns the number of a task's next run. The members of a gang share run numbers. */
-    int nextRun(Task task) {
-        if (!mSpec.gang()) {
-            return task.mRun + 1;
-        }
+    /** Returns the numbers of the next runs of tasks. The members of a gang share run numbers. */
+    Map<Task, Integer> nextRuns(Collection<Task> tasks) {
+        Map<Task, Integer> runs = new LinkedHashMap<>();
         int highest = 0;
-        for (Task member : mTasks) {
-            highest = Math.max(highest, member.mRun);
+        if (mSpec.gang()) {
+            for (Task member : mTasks) {
+                highest = Math.max(highest, member.mRun);
+            }
+        }
+        for (Task task : tasks) {
+            runs.put(task, 1 + (mSpec.gang() ? highest : task.mRun));
         }
-        return highest + 1;
+        return runs;
     }
 
     /** Returns the checkpoint from which the next run of a task resumes, or an empty text. */
@@ -146,7 +252,7 @@
     /** Returns the number of the step's tasks on a worker. */
     int taskCountOn(PoolWorker worker) {
         int count = 0;
-        for (Task task : mTasks) {
+        for (Task task : openTasks()) {
             if (worker.equals(task.mWorker)) {
                 count++;
             }
@@ -156,7 +262,7 @@
 
     /** Returns whether a task of this step has room allocated on a worker. */
     boolean hasRoom() {
-        return mTasks.stream().anyMatch(Task::occupies);
+        return openTasks().stream().anyMatch(Task::occupies);
     }
 
     /** Returns the room that is reserved for this step on all workers. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -381,6 +381,7 @@
     }
 
     void setPhase(Phase phase, long nowMillis) {
+        mStep.onPhaseChanged(mPhase, phase);
         mPhase = phase;
         mPhaseMillis = nowMillis;
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowParts.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowParts.java
@@ -3,101 +3,126 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
+import java.util.function.Supplier;
+import org.hyssoprouter.lib.workflow.StepKey;
 import org.hyssoprouter.lib.workflow.TaskKey;
+import org.jspecify.annotations.Nullable;
 
 /**
- * Divides the durable state of a workflow into parts of bounded size, and joins them again. The
- * tasks of all occurrences are numbered through, and each part holds a fixed range of the numbers,
- * so that a change of a task changes one part only.
+ * Divides the durable state of a workflow into parts of bounded size, and joins them again. A part
+ * holds a slice of the tasks of one step, the fields of a whole step, or which of some occurrences
+ * have ended. Leading tasks of a step that are done are a number in the part of the step, so that
+ * the parts do not grow with the width of the step, but with what runs and waits.
  *
  * @since 0.3
  */
 public final class WorkflowParts {
-    /** Number of tasks in a part. */
-    static final int TASKS_PER_PART = 64;
+    /** Number of tasks in a slice. */
+    static final int TASKS_PER_SLICE = 64;
 
     /** Number of occurrences in a part that holds which of them have ended. */
     static final int OCCURRENCES_PER_PART = 4_096;
 
-    private static final String TASKS_PREFIX = "t";
+    private static final char SEPARATOR = '.';
     private static final String OCCURRENCES_PREFIX = "e";
 
-    private final List<Long> mFirstNumbers = new ArrayList<>();
-    private final long mTasksPerOccurrence;
+    private final Workflow mWorkflow;
+    private final Supplier<StoreOffset> mClock;
 
-    /**
-     * Creates the division of a workflow.
-     *
-     * @param taskCounts number of tasks of each step
-     */
-    public WorkflowParts(List<Integer> taskCounts) {
-        long count = 0;
-        for (int tasks : taskCounts) {
-            mFirstNumbers.add(count);
-            count += tasks;
+    /** Parts that other parts rely on: they must be durable before a row of a slice is deleted. */
+    private final Map<String, WorkflowPartRow> mGuards = new LinkedHashMap<>();
+
+    /** Slices with tasks to store, by name of the part. */
+    private final Map<String, Slice> mSlices = new LinkedHashMap<>();
+
+    private int mEndedCount;
+    private Map<String, WorkflowPartRow> mEndedParts = Map.of();
+
+    /** Range of positions among the tasks that a step holds. */
+    private record Slice(Step step, int from, int to) {
+        List<Task> tasks() {
+            return step.mTasks.subList(from, to);
         }
-        mTasksPerOccurrence = count;
+    }
+
+    WorkflowParts(Workflow workflow, Supplier<StoreOffset> clock) {
+        mWorkflow = workflow;
+        mClock = clock;
     }
 
     /** Returns the name of the part that holds a task. */
-    public String nameOf(TaskKey task) {
-        return nameOf(task.step().occurrence(), task.step().step(), task.index());
+    public static String nameOf(TaskKey task) {
+        return nameOf(task.step()) + SEPARATOR + task.index() / TASKS_PER_SLICE;
     }
 
-    private String nameOf(int occurrence, int step, int index) {
-        long number = occurrence * mTasksPerOccurrence + mFirstNumbers.get(step) + index;
-        return TASKS_PREFIX + number / TASKS_PER_PART;
+    private static String nameOf(StepKey step) {
+        return Integer.toString(step.occurrence()) + SEPARATOR + step.step();
     }
 
-    /** Returns the parts of a row by name. A workflow in a terminal state needs no occurrences. */
-    public Map<String, WorkflowPartRow> split(WorkflowRow row) {
-        Map<String, List<WorkflowRow.StepRow>> steps = new HashMap<>();
-        for (WorkflowRow.StepRow step : row.steps()) {
-            splitStep(step)
-                    .forEach(
-                            (name, slice) ->
-                                    steps.computeIfAbsent(name, it -> new ArrayList<>())
-                                            .add(slice));
-        }
-        Map<String, WorkflowPartRow> parts = new HashMap<>();
-        steps.forEach((name, slices) -> parts.put(name, new WorkflowPartRow(slices, List.of())));
-        if (!row.state().isFinal()) {
-            splitOccurrences(row.endedOccurrences())
-                    .forEach(
-                            (name, ranges) ->
-                                    parts.put(name, new WorkflowPartRow(List.of(), ranges)));
+    /** Takes the present state of the workflow, and lets go of leading tasks that are done. */
+    public void refresh() {
+        mGuards.clear();
+        mSlices.clear();
+        boolean isFinal = mWorkflow.mState.isFinal();
+        // A workflow in a terminal state needs no occurrences, and tasks for a quota only.
+        if (!isFinal) {
+            mGuards.putAll(endedParts());
+        }
+        if (!isFinal || !mWorkflow.mSpec.workspace().isEmpty()) {
+            mWorkflow.openSteps().forEach(step -> refresh(step, isFinal));
         }
-        return parts;
     }
 
-    private Map<String, WorkflowRow.StepRow> splitStep(WorkflowRow.StepRow step) {
-        Map<String, List<WorkflowRow.TaskRow>> tasks = new HashMap<>();
-        for (WorkflowRow.TaskRow task : step.tasks()) {
-            String name = nameOf(step.occurrence(), step.step(), task.index());
-            tasks.computeIfAbsent(name, it -> new ArrayList<>()).add(task);
-        }
-        String first = nameOf(step.occurrence(), step.step(), 0);
-        tasks.computeIfAbsent(first, it -> new ArrayList<>());
-        Map<String, WorkflowRow.StepRow> slices = new HashMap<>();
-        tasks.forEach(
-                (name, rows) ->
-                        slices.put(
-                                name,
-                                name.equals(first)
-                                        ? step.withTasks(rows)
-                                        : WorkflowRow.StepRow.slice(step, rows)));
-        return slices;
+    private void refresh(Step step, boolean isFinal) {
+        step.dropDone(TASKS_PER_SLICE);
+        String checkpoint = WorkflowRow.gangCheckpointOf(step);
+        boolean hasFields =
+                step.doneBelow() > 0
+                        || step.mGangFailures > 0
+                        || step.mLastFailedGangRun > 0
+                        || !checkpoint.isEmpty();
+        if (hasFields && !isFinal) {
+            WorkflowRow.StepRow row =
+                    new WorkflowRow.StepRow(
+                            step.mKey.occurrence(),
+                            step.mKey.step(),
+                            step.mGangFailures,
+                            checkpoint,
+                            List.of(),
+                            step.mLastFailedGangRun,
+                            step.doneBelow());
+            mGuards.put(nameOf(step.mKey), new WorkflowPartRow(List.of(row), List.of()));
+        }
+        int size = step.mTasks.size();
+        for (int from = 0; from < size; from += TASKS_PER_SLICE) {
+            Slice slice = new Slice(step, from, Math.min(size, from + TASKS_PER_SLICE));
+            if (slice.tasks().stream().anyMatch(it -> WorkflowRow.isStored(it, isFinal))) {
+                mSlices.put(nameOf(step.mTasks.get(from).mKey), slice);
+            }
+        }
+    }
+
+    private Map<String, WorkflowPartRow> endedParts() {
+        if (mEndedCount != mWorkflow.mEndedOccurrences.size()) {
+            mEndedCount = mWorkflow.mEndedOccurrences.size();
+            mEndedParts = new LinkedHashMap<>();
+            splitOccurrences(mWorkflow.mEndedOccurrences)
+                    .forEach(
+                            (name, ranges) ->
+                                    mEndedParts.put(name, new WorkflowPartRow(List.of(), ranges)));
+        }
+        return mEndedParts;
     }
 
     private static Map<String, List<WorkflowPartRow.OccurrenceRange>> splitOccurrences(
-            List<Integer> ended) {
-        Map<String, List<WorkflowPartRow.OccurrenceRange>> parts = new HashMap<>();
-        for (int occurrence : new TreeSet<>(ended)) {
+            Collection<Integer> ended) {
+        Map<String, List<WorkflowPartRow.OccurrenceRange>> parts = new LinkedHashMap<>();
+        for (int occurrence : ended) {
             List<WorkflowPartRow.OccurrenceRange> ranges =
                     parts.computeIfAbsent(
                             OCCURRENCES_PREFIX + occurrence / OCCURRENCES_PER_PART,
@@ -113,6 +138,61 @@
         return parts;
     }
 
+    /** Returns the names of the parts that rows of slices may be deleted after. */
+    public Collection<String> guardNames() {
+        return mGuards.keySet();
+    }
+
+    /** Returns the names of the parts that hold slices of tasks. */
+    public Collection<String> sliceNames() {
+        return mSlices.keySet();
+    }
+
+    /** Returns a part, or null if there is nothing to store under its name. */
+    public @Nullable WorkflowPartRow part(String name) {
+        WorkflowPartRow guard = mGuards.get(name);
+        Slice slice = mSlices.get(name);
+        if (guard != null || slice == null) {
+            return guard;
+        }
+        boolean isFinal = mWorkflow.mState.isFinal();
+        List<WorkflowRow.TaskRow> tasks = new ArrayList<>();
+        for (Task task : slice.tasks()) {
+            if (WorkflowRow.isStored(task, isFinal)) {
+                tasks.add(WorkflowRow.rowOf(task, mClock.get()));
+            }
+        }
+        StepKey key = slice.step().mKey;
+        return new WorkflowPartRow(
+                List.of(new WorkflowRow.StepRow(key.occurrence(), key.step(), 0, "", tasks, 0)),
+                List.of());
+    }
+
+    /** Returns whether a row holds what a part is to hold. */
+    public boolean isStored(String name, @Nullable WorkflowPartRow row) {
+        Slice slice = mSlices.get(name);
+        if (row == null || slice == null) {
+            return row != null && row.equals(mGuards.get(name));
+        }
+        if (row.steps().size() != 1) {
+            return false;
+        }
+        boolean isFinal = mWorkflow.mState.isFinal();
+        StoreOffset clock = mClock.get();
+        List<WorkflowRow.TaskRow> rows = row.steps().get(0).tasks();
+        int position = 0;
+        for (Task task : slice.tasks()) {
+            if (!WorkflowRow.isStored(task, isFinal)) {
+                continue;
+            }
+            if (position == rows.size() || !rows.get(position).isRowOf(task, clock)) {
+                return false;
+            }
+            position++;
+        }
+        return position == rows.size();
+    }
+
     /**
      * Joins the parts of a workflow. The main row may still hold tasks from before it was divided;
      * what a part says of a task is newer.
@@ -124,7 +204,7 @@
         if (parts.isEmpty()) {
             return main;
         }
-        Set<Integer> ended = new TreeSet<>(main.endedOccurrences());
+        TreeSet<Integer> ended = new TreeSet<>(main.endedOccurrences());
         for (WorkflowPartRow part : parts) {
             for (WorkflowPartRow.OccurrenceRange range : part.ended()) {
                 for (int number = range.first(); number <= range.last(); number++) {
@@ -132,50 +212,52 @@
                 }
             }
         }
-        Map<List<Integer>, JoinedStep> steps = new HashMap<>();
+        Map<StepKey, JoinedStep> steps = new HashMap<>();
         main.steps().forEach(it -> joined(steps, it).add(it));
         parts.forEach(part -> part.steps().forEach(it -> joined(steps, it).add(it)));
         List<WorkflowRow.StepRow> rows = new ArrayList<>();
         steps.forEach(
                 (key, step) -> {
-                    if (!ended.contains(key.get(0))) {
-                        rows.add(step.toRow(key.get(0), key.get(1)));
+                    if (!ended.contains(key.occurrence())) {
+                        rows.add(step.toRow(key));
                     }
                 });
         return new WorkflowRow(
                 main.queue(), main.state(), new ArrayList<>(ended), rows, main.reason());
     }
 
-    private static JoinedStep joined(
-            Map<List<Integer>, JoinedStep> steps, WorkflowRow.StepRow step) {
+    private static JoinedStep joined(Map<StepKey, JoinedStep> steps, WorkflowRow.StepRow step) {
         return steps.computeIfAbsent(
-                List.of(step.occurrence(), step.step()), it -> new JoinedStep());
+                new StepKey("", step.occurrence(), step.step()), it -> new JoinedStep());
     }
 
     /** Step whose slices are joined; later slices replace what earlier ones say. */
     private static final class JoinedStep {
-        private final Map<Integer, WorkflowRow.TaskRow> mTasks = new TreeMap<>();
+        private final TreeMap<Integer, WorkflowRow.TaskRow> mTasks = new TreeMap<>();
         private int mGangFailures;
         private int mLastFailedRun;
+        private int mDoneBelow;
         private String mCheckpoint = "";
 
         void add(WorkflowRow.StepRow slice) {
             mGangFailures = Math.max(mGangFailures, slice.gangFailures());
             mLastFailedRun = Math.max(mLastFailedRun, slice.lastFailedRun());
+            mDoneBelow = Math.max(mDoneBelow, slice.doneBelow());
             if (!slice.checkpoint().isEmpty()) {
                 mCheckpoint = slice.checkpoint();
             }
             slice.tasks().forEach(task -> mTasks.put(task.index(), task));
         }
 
-        WorkflowRow.StepRow toRow(int occurrence, int step) {
+        WorkflowRow.StepRow toRow(StepKey key) {
             return new WorkflowRow.StepRow(
-                    occurrence,
-                    step,
+                    key.occurrence(),
+                    key.step(),
                     mGangFailures,
                     mCheckpoint,
-                    new ArrayList<>(mTasks.values()),
-                    mLastFailedRun);
+                    new ArrayList<>(mTasks.tailMap(mDoneBelow).values()),
+                    mLastFailedRun,
+                    mDoneBelow);
         }
     }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
@@ -52,11 +52,13 @@
         step.mGangFailures = row.gangFailures();
         step.mLastFailedGangRun = row.lastFailedRun();
         step.mGangCheckpoint = row.checkpoint();
+        step.restoreDoneBelow(row.doneBelow());
         for (WorkflowRow.TaskRow taskRow : row.tasks()) {
-            if (taskRow.index() >= step.mTasks.size()) {
+            boolean isHeld = taskRow.index() >= row.doneBelow();
+            if (!isHeld || taskRow.index() >= step.mSpec.taskCount()) {
                 continue;
             }
-            Task task = step.mTasks.get(taskRow.index());
+            Task task = step.task(taskRow.index());
             task.mRun = taskRow.run();
             task.mFailures = taskRow.failures();
             task.mCrashes = taskRow.crashes();
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
@@ -40,6 +40,8 @@
      * @param checkpoint checkpoint of a gang, or empty
      * @param tasks tasks that were started at least once
      * @param lastFailedRun number of the last run of a gang that was counted as failed, or 0
+     * @param doneBelow number of leading tasks that are done and left out; 0 in rows of an earlier
+     *     release
      */
     @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     public record StepRow(
@@ -48,15 +50,17 @@
             int gangFailures,
             String checkpoint,
             List<TaskRow> tasks,
-            int lastFailedRun) {
-        /** Returns this step with some of its tasks. */
-        StepRow withTasks(List<TaskRow> some) {
-            return new StepRow(occurrence, step, gangFailures, checkpoint, some, lastFailedRun);
-        }
-
-        /** Returns some tasks of a step without the fields of the whole step. */
-        static StepRow slice(StepRow whole, List<TaskRow> some) {
-            return new StepRow(whole.occurrence, whole.step, 0, "", some, 0);
+            int lastFailedRun,
+            int doneBelow) {
+        /** Creates the state of a step whose started tasks are all listed. */
+        public StepRow(
+                int occurrence,
+                int step,
+                int gangFailures,
+                String checkpoint,
+                List<TaskRow> tasks,
+                int lastFailedRun) {
+            this(occurrence, step, gangFailures, checkpoint, tasks, lastFailedRun, 0);
         }
     }
 
@@ -94,6 +98,25 @@
             provedCrashes = Objects.requireNonNullElse(provedCrashes, List.of());
         }
 
+        /**
+         * Returns whether this is the row of a task. When a run began does not change, but the
+         * relation of the clocks becomes more precise.
+         */
+        boolean isRowOf(Task task, StoreOffset clock) {
+            PoolWorker other = task.mWorker;
+            boolean hasBegun = clock.toStoreMillis(task.begunMillis()) != 0;
+            return index == task.mKey.index()
+                    && run == task.mRun
+                    && failures == task.mFailures
+                    && done == (task.mPhase == Task.Phase.DONE)
+                    && worker.equals(other == null ? "" : other.mId)
+                    && (task.mStep.mSpec.gang() || checkpoint.equals(task.mCheckpoint))
+                    && crashes == task.mCrashes
+                    && provedCrashes.equals(task.mProvedCrashes)
+                    && (begunMillis != 0) == hasBegun
+                    && incarnationMillis == task.incarnationMillis();
+        }
+
         /** Returns this task with another checkpoint. */
         TaskRow withCheckpoint(String other) {
             return new TaskRow(
@@ -110,9 +133,19 @@
         }
     }
 
-    /** Returns this row without steps and occurrences, which are in the parts of the workflow. */
-    public WorkflowRow withoutSteps() {
-        return new WorkflowRow(queue, state, List.of(), List.of(), reason);
+    /** Returns the row of a workflow whose steps and occurrences are in its parts. */
+    static WorkflowRow mainOf(Workflow workflow) {
+        return new WorkflowRow(
+                workflow.mSpec.queue(),
+                workflow.mState,
+                List.of(),
+                List.of(),
+                storedReason(workflow));
+    }
+
+    private static String storedReason(Workflow workflow) {
+        String reason = workflow.mReason;
+        return reason.substring(0, Math.min(MAX_REASON_LENGTH, reason.length()));
     }
 
     /**
@@ -127,7 +160,7 @@
         if (!isFinal || !workflow.mSpec.workspace().isEmpty()) {
             for (Step step : workflow.openSteps()) {
                 List<TaskRow> tasks = tasksOf(step, isFinal, clock);
-                if (!tasks.isEmpty()) {
+                if (!tasks.isEmpty() || step.doneBelow() > 0) {
                     steps.add(rowOf(step, tasks));
                 }
             }
@@ -137,40 +170,56 @@
                 workflow.mState,
                 new ArrayList<>(workflow.mEndedOccurrences),
                 steps,
-                workflow.mReason.substring(
-                        0, Math.min(MAX_REASON_LENGTH, workflow.mReason.length())));
+                storedReason(workflow));
     }
 
     private static StepRow rowOf(Step step, List<TaskRow> tasks) {
-        String checkpoint = step.mSpec.gang() ? step.mGangCheckpoint : "";
         return new StepRow(
                 step.mKey.occurrence(),
                 step.mKey.step(),
                 step.mGangFailures,
-                checkpoint,
+                gangCheckpointOf(step),
                 tasks,
-                step.mLastFailedGangRun);
+                step.mLastFailedGangRun,
+                step.doneBelow());
+    }
+
+    /** Returns the checkpoint of a gang; empty for other steps. */
+    static String gangCheckpointOf(Step step) {
+        return step.mSpec.gang() ? step.mGangCheckpoint : "";
     }
 
     private static List<TaskRow> tasksOf(Step step, boolean onlyWithRoom, StoreOffset clock) {
         List<TaskRow> rows = new ArrayList<>();
         for (Task task : step.mTasks) {
-            if (task.mRun > 0 && (task.occupies() || !onlyWithRoom)) {
-                PoolWorker worker = task.mWorker;
-                rows.add(
-                        new TaskRow(
-                                task.mKey.index(),
-                                task.mRun,
-                                task.mFailures,
-                                task.mPhase == Task.Phase.DONE,
-                                worker == null ? "" : worker.mId,
-                                step.mSpec.gang() ? "" : task.mCheckpoint,
-                                task.mCrashes,
-                                List.copyOf(task.mProvedCrashes),
-                                clock.toStoreMillis(task.begunMillis()),
-                                task.incarnationMillis()));
+            if (isStored(task, onlyWithRoom)) {
+                rows.add(rowOf(task, clock));
             }
         }
         return rows;
     }
+
+    /**
+     * Returns whether the row of its workflow holds a task.
+     *
+     * @param onlyWithRoom whether the workflow is in a terminal state
+     */
+    static boolean isStored(Task task, boolean onlyWithRoom) {
+        return task.mRun > 0 && (task.occupies() || !onlyWithRoom);
+    }
+
+    static TaskRow rowOf(Task task, StoreOffset clock) {
+        PoolWorker worker = task.mWorker;
+        return new TaskRow(
+                task.mKey.index(),
+                task.mRun,
+                task.mFailures,
+                task.mPhase == Task.Phase.DONE,
+                worker == null ? "" : worker.mId,
+                task.mStep.mSpec.gang() ? "" : task.mCheckpoint,
+                task.mCrashes,
+                List.copyOf(task.mProvedCrashes),
+                clock.toStoreMillis(task.begunMillis()),
+                task.incarnationMillis());
+    }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRows.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRows.java
@@ -3,7 +3,6 @@
 import io.vavr.control.Option;
 import java.util.List;
 import org.hyssoprouter.lib.workflow.StepKey;
-import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.TaskStart;
 
 /**
@@ -36,15 +35,15 @@
         return workflow == null ? "" : workflow.mSpec.workspace();
     }
 
-    /** Returns how the row of a workflow is divided if it is too large; none if it is unknown. */
+    /** Returns the parts of a workflow that is too large for one row; none if it is unknown. */
     public Option<WorkflowParts> partsOf(String id) {
         return Option.of(mState.mWorkflows.get(id))
-                .map(
-                        workflow ->
-                                new WorkflowParts(
-                                        workflow.mSpec.steps().stream()
-                                                .map(StepSpec::taskCount)
-                                                .toList()));
+                .map(workflow -> new WorkflowParts(workflow, () -> mState.mStoreOffset));
+    }
+
+    /** Returns the main row of a divided workflow, or none if the workflow is unknown. */
+    public Option<WorkflowRow> mainRow(String id) {
+        return Option.of(mState.mWorkflows.get(id)).map(WorkflowRow::mainOf);
     }
 
     /** Returns whether the tasks of a step form a gang; false if the step is unknown. */
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolWorkerTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PoolWorkerTest.java
@@ -60,7 +60,7 @@
 
     @Test
     void allocationIsReplacedAndReleasedOnce() {
-        Task task = mStep.mTasks.get(0);
+        Task task = mStep.task(0);
         mWorker.allocate(task, cpu(3_000));
         mWorker.allocate(task, cpu(2_000));
         assertFree(6_000, mStep);
@@ -71,7 +71,7 @@
 
     @Test
     void changedCapacityKeepsAllocationsAndReservations() {
-        mWorker.allocate(mStep.mTasks.get(0), cpu(3_000));
+        mWorker.allocate(mStep.task(0), cpu(3_000));
         mWorker.reserve(mStep, cpu(1_000));
         mWorker.update(entry(2_000), 0);
         assertFree(-1_000, mStep);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkerSelectorTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkerSelectorTest.java
@@ -62,7 +62,12 @@
                         0);
         Step step = new Step(workflow, new StepKey("a", 0, 0), workflow.mSpec.steps().get(0));
         Map<String, Integer> counts = new TreeMap<>();
-        WorkerSelector.select(step, step.mTasks, workers, worker -> worker.freeFor(step), mRanking)
+        WorkerSelector.select(
+                        step,
+                        step.placeableTasks(),
+                        workers,
+                        worker -> worker.freeFor(step),
+                        mRanking)
                 .values()
                 .forEach(worker -> counts.merge(worker.mId, 1, Integer::sum));
         return counts;
