--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
@@ -171,6 +171,16 @@
         assertEquals(WorkflowState.CANCELLED, state());
     }
 
+    // Fault: the partition of the workflow does not answer, so that its row is in the other one.
+    @Test
+    void submissionInTheOtherPartitionDoesNotRun() {
+        assertEquals(WorkflowService.CancelResult.ABSENT, cancel(newDaemon(), ""));
+        byte[] row = Schema.encodeJob(spec(""));
+        mTable.put(Schema.JOBS, Schema.fallbackJobPartition(ID), ID, row);
+        follow();
+        assertEquals(WorkflowState.CANCELLED, state());
+    }
+
     // Fault: the owner is lost between the cancelling and the submission.
     @Test
     void nextOwnerKnowsTheCancel() {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
@@ -35,6 +35,9 @@
     private static final Room HUGE = new Room(100_000_000, 1_000_000, 0);
     private static final int TASKS = 10_000;
 
+    /** Tasks of two workflows that are divided soon. */
+    private static final int WIDE_TASKS = 2_000;
+
     /** More tasks than a row of an earlier release holds with its limit. */
     private static final int ROW_TASKS = 1_500;
 
@@ -211,6 +214,14 @@
     }
 
     private void takeOver(long epoch) {
+        takeOver(epoch, TASKS, LARGE);
+    }
+
+    private void takeOver(long epoch, String... ids) {
+        takeOver(epoch, WIDE_TASKS, ids);
+    }
+
+    private void takeOver(long epoch, int tasks, String... ids) {
         mCommitter.close();
         mFixture = new SchedulerFixture();
         mScheduler = mFixture.scheduler();
@@ -225,11 +236,62 @@
                         mStoreClock,
                         new IgnoringListener());
         accepted.putFormer(readRows());
-        accepted.onAccepted(SchedulerFixture.workflow(LARGE, TASKS, false));
+        for (String id : ids) {
+            accepted.onAccepted(SchedulerFixture.workflow(id, tasks, false));
+        }
         mThread.advance(0);
         accepted.deleteLeftovers();
     }
 
+    // Guards against tasks that run twice, as the owner was lost after any of the commits in which
+    // two wide workflows start, run and end.
+    @Test
+    void noTaskIsStartedTwiceWhicheverCommitIsTheLast() {
+        String other = "2b3c4d5e6f7a8b9c";
+        mFixture.submit(LARGE, WIDE_TASKS, false);
+        mFixture.submit(other, WIDE_TASKS, false);
+        Set<TaskKey> ended = new HashSet<>();
+        Map<TaskKey, Integer> started = new HashMap<>();
+        long epoch = 1;
+        for (int last = 1; !isComplete(LARGE) || !isComplete(other); last++) {
+            assertTrue(last < 2_000, "both workflows complete");
+            mTable.answerOnly(1 + last % 3);
+            mScheduler.place(mThread.millis());
+            commit(5);
+            for (TaskStart start : mStarts) {
+                Integer former = started.put(start.task(), start.run());
+                assertTrue(former == null, "started again: " + start.task());
+            }
+            // Ends are reported again until their rows are durable.
+            List<TaskKey> running = new ArrayList<>(started.keySet());
+            running.removeAll(ended);
+            List<TaskKey> ending = running.subList(0, Math.min(150, running.size()));
+            mStarts.clear();
+            mTable.answerAll();
+            mTable.answerOnly(last % 4);
+            end(ending);
+            mCommitter.commitIfDue();
+            mThread.advance(1);
+            if (mCommitter.durableEndSequence(SchedulerFixture.WORKER) >= mEndCount) {
+                ended.addAll(ending);
+            }
+            mTable.answerAll();
+            List<TaskKey> left = new ArrayList<>(started.keySet());
+            left.removeAll(ended);
+            takeOver(++epoch, LARGE, other);
+            mEndCount = 0;
+            report(left);
+            mScheduler.output().takeStops();
+        }
+        assertEquals(2 * WIDE_TASKS, started.size());
+        assertEquals(0, mTable.tooLargeCount());
+    }
+
+    private boolean isComplete(String id) {
+        FormerWorkflow workflow = readRows().get(id);
+        return workflow != null && workflow.row().state() == WorkflowState.COMPLETE;
+    }
+
     // Guards against runs that are forgotten while a row of an earlier release is divided.
     @Test
     void rowOfAnEarlierReleaseIsDividedWithoutLoss() {
@@ -337,8 +399,7 @@
         return write.table().equals(Schema.RUNS) && write.name().startsWith(id);
     }
 
-    // Guards against a job whose row the store refuses for good, whatever it answers: all others
-    // waited for it, and its tasks kept room that they never used.
+    // Guards against one job that stops all others: the store never accepts its row.
     @ParameterizedTest
     @EnumSource(
             value = TableError.Kind.class,
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadRowsTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadRowsTest.java
@@ -71,7 +71,7 @@
         assertEquals(0, pending("queue-with-a-name-of-a-usual-length-950"));
     }
 
-    // Guards against load that is taken for written, though its commit was given up.
+    // Guards against counts that callers never see: the commit that wrote them failed.
     @Test
     void loadThatWasNotWrittenIsPublishedAgain() throws IOException {
         LoadRows rows = new LoadRows();
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkflowPartsTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkflowPartsTest.java
@@ -107,6 +107,37 @@
         }
     }
 
+    // Guards against counts of phases that drift from the tasks: a step would never be done.
+    @Test
+    void phasesAreCountedAsTheyAre() {
+        for (int seed = 0; seed < SEEDS; seed++) {
+            Random random = new Random(seed);
+            Workflow workflow = workflow(12, 1 + random.nextInt(70), 1 + random.nextInt(300), 1);
+            randomize(workflow, random);
+            WorkflowParts parts = partsOf(workflow);
+            for (int round = 0; round < 2; round++) {
+                for (Step step : workflow.openSteps()) {
+                    for (Task.Phase phase : Task.Phase.values()) {
+                        assertEquals(countOf(step, phase), step.count(phase), "seed " + seed);
+                    }
+                    boolean done = countOf(step, Task.Phase.DONE) == step.mSpec.taskCount();
+                    assertEquals(done, step.isDone());
+                }
+                parts.refresh();
+            }
+        }
+    }
+
+    private static int countOf(Step step, Task.Phase phase) {
+        int count = phase == Task.Phase.DONE ? step.doneBelow() : 0;
+        for (int index = step.doneBelow(); index < step.mSpec.taskCount(); index++) {
+            Task task = step.heldTask(index);
+            Task.Phase actual = task == null ? Task.Phase.WAITING : task.mPhase;
+            count += actual == phase ? 1 : 0;
+        }
+        return count;
+    }
+
     // Guards against a new owner that runs tasks again, as those that are done are a number only.
     @Test
     void restoredStepKnowsTheTasksThatAreDone() {
