--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
@@ -10,6 +10,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.errors.TableError;
@@ -21,6 +22,7 @@
 import org.hyssoprouter.lib.workflow.StartOutcome;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.transport.PartitionTable;
 import org.hyssoprouter.util.MessageCodec;
@@ -116,6 +118,10 @@
     }
 
     private void assertStartsAreStored() {
+        FormerWorkflow workflow = readRows().get(LARGE);
+        if (workflow != null && workflow.row().state().isFinal()) {
+            return;
+        }
         Set<Integer> stored = storedTasks(LARGE);
         for (TaskStart start : mStarts) {
             if (start.task().step().workflow().equals(LARGE)) {
@@ -292,9 +298,8 @@
         return workflow != null && workflow.row().state() == WorkflowState.COMPLETE;
     }
 
-    // Guards against runs that are forgotten while a row of an earlier release is divided.
-    @Test
-    void rowOfAnEarlierReleaseIsDividedWithoutLoss() {
+    /** Writes an undivided row. Returns the tasks in it. */
+    private Set<Integer> putRowOfAnEarlierRelease() {
         List<WorkflowRow.TaskRow> tasks = new ArrayList<>();
         for (int i = 0; i < ROW_TASKS; i++) {
             // Spread over more parts than one commit holds.
@@ -313,10 +318,17 @@
         byte[] row = MessageCodec.encode(former);
         assertTrue(row.length <= LimitedTable.MAX_ROW_BYTES, "row of " + row.length + " bytes");
         mTable.put(Schema.RUNS, Schema.POOLS_PARTITION, LARGE, row);
+        Set<Integer> indexes = new HashSet<>();
+        tasks.forEach(it -> indexes.add(it.index()));
+        return indexes;
+    }
+
+    // Guards against runs that are forgotten while a row of an earlier release is divided.
+    @Test
+    void rowOfAnEarlierReleaseIsDividedWithoutLoss() {
+        Set<Integer> restored = putRowOfAnEarlierRelease();
         takeOver(2);
         placeAll();
-        Set<Integer> restored = new HashSet<>();
-        tasks.forEach(it -> restored.add(it.index()));
         mTable.afterCommit(
                 () -> {
                     assertTrue(storedTasks(LARGE).containsAll(restored), "a run is forgotten");
@@ -328,6 +340,61 @@
         assertEquals(0, mTable.tooLargeCount());
     }
 
+    // Guards against a new owner that runs an ended occurrence again: rows of its tasks were
+    // deleted
+    // before its end was durable.
+    @Test
+    void rowsOfAnOccurrenceAreDeletedAfterItsEnd() {
+        WorkflowSpec wide = SchedulerFixture.workflow(LARGE, TASKS, false);
+        WorkflowSpec scheduled =
+                new WorkflowSpec(
+                        LARGE,
+                        wide.queue(),
+                        "",
+                        wide.steps(),
+                        new WorkflowSpec.Schedule(2, 1_000, 1L << 40));
+        mScheduler.addWorkflow(scheduled, mThread.millis());
+        mScheduler.tick(mThread.millis(), 2_000);
+        placeAll();
+        commit();
+        List<TaskStart> starts = List.copyOf(mStarts);
+        assertEquals(TASKS, starts.size());
+        accept(starts);
+        // The first task ends last, so that all rows are left until then.
+        for (int i = 1; i < TASKS; i += 500) {
+            List<TaskStart> ended = starts.subList(i, Math.min(TASKS, i + 500));
+            end(ended.stream().map(TaskStart::task).toList());
+            commit(3);
+        }
+        end(List.of(starts.get(0).task()));
+        mTable.answerOnly(1);
+        commit();
+        mTable.answerAll();
+        FormerWorkflow former = Objects.requireNonNull(readRows().get(LARGE));
+        assertEquals(List.of(0), former.row().endedOccurrences());
+        assertTrue(former.parts().size() > 1, "rows are left to delete");
+        commit();
+    }
+
+    // Guards against a new owner that knows nothing of starts: their rows were deleted before the
+    // final state replaced the undivided row of an earlier release.
+    @Test
+    void rowsOfStartsAreDeletedAfterTheRowThatReplacesAnUndividedOne() {
+        putRowOfAnEarlierRelease();
+        takeOver(2);
+        mTable.afterCommit(this::assertStartsAreStored);
+        mScheduler.place(mThread.millis());
+        mTable.answerOnly(1);
+        commit();
+        mTable.answerAll();
+        assertTrue(startCount(LARGE) > 0);
+        takeOver(3);
+        mScheduler.cancelWorkflow(LARGE, mThread.millis());
+        commit();
+        assertEquals(WorkflowState.CANCELLED, mStates.get(LARGE));
+        assertEquals(1, mTable.rows(Schema.RUNS).size());
+    }
+
     // Guards against rows that are left when their workflow has ended.
     @Test
     void finishedLargeWorkflowLeavesOneRow() {
