--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
@@ -199,6 +199,8 @@
     @Test
     void cancelOfAnotherWorkspaceDecidesNothing() {
         assertEquals(WorkflowService.CancelResult.ABSENT, cancel(newDaemon(), "b"));
+        // One is read before the submission, the other one after it.
+        follow();
         assertEquals(WorkflowService.CancelResult.ABSENT, cancel(newDaemon(), ""));
         submit(newDaemon(), "a");
         follow();
