--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/RefusedRowsTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/RefusedRowsTest.java
@@ -71,6 +71,25 @@
         }
     }
 
+    // Guards against an owner that takes itself for replaced: the answer to the commit that tells
+    // refused rows from a store that is down was lost.
+    @Test
+    void lostAnswersOfProbesEndNoOwnership() {
+        mTable.refuse(
+                (write, commit) ->
+                        isRowOf(write, LARGE) ? errorOf(TableError.Kind.REJECTED) : null);
+        mFixture.submit(LARGE, 300, false);
+        for (int lost = 1; lost < 12; lost++) {
+            String id = "small" + lost;
+            mFixture.submit(id);
+            place();
+            mTable.loseAnswers(lost);
+            commit(300);
+            assertEquals(1, startCount(id), id);
+        }
+        assertEquals(0, startCount(LARGE));
+    }
+
     // Guards against a workflow that is held, as the store was down for all for a while.
     @ParameterizedTest
     @EnumSource(
