--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -78,6 +78,10 @@
     /** The owner deletes cancellations of workflows that were never submitted. */
     EARLY_CANCELS_DELETED(
             5016, Level.INFO, "early cancellations deleted", "partition", "rows", "outcome"),
+    /** A caller has asked for the number of waiting workflows of a queue. */
+    QUEUE_COUNTED(5017, Level.INFO, "queue counted", "queue", "waiting", "ageMillis", "epoch"),
+    /** The owner publishes changed numbers of waiting workflows. */
+    LOAD_PUBLISHED(5018, Level.INFO, "load published", "epoch", "waiting", "acceptedAgeMillis"),
     /** This daemon acquired the ownership of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon released or lost the ownership of the pools. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
@@ -62,6 +62,16 @@
         timer("hyssop.approvals", "outcome", outcome).record(Duration.ofMillis(millis));
     }
 
+    /** Records an answered number of waiting workflows by its age, if that is known. */
+    public void recordQueueCount(long ageMillis) {
+        timer("hyssop.queue.count.age").record(Duration.ofMillis(ageMillis));
+    }
+
+    /** Records the age of what the owner of the pools has read of the accepted workflows. */
+    public void recordAcceptedAge(long ageMillis) {
+        timer("hyssop.owner.accepted.age").record(Duration.ofMillis(ageMillis));
+    }
+
     /** Counts a transaction that was sent a second time because no answer arrived. */
     public void recordHedgedCommit() {
         counter("hyssop.commits.hedged").increment();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/AcceptedWorkflows.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/AcceptedWorkflows.java
@@ -67,7 +67,8 @@
     }
 
     @Override
-    public void onSynced() {
+    public void onSynced(long storeMillis) {
+        mThread.execute(() -> mChanges.recordWorkflowsRead(storeMillis));
         mListener.onWorkflowsRead();
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobRowReader.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/JobRowReader.java
@@ -15,8 +15,12 @@
 
     /** Receives what the rows say. All calls come from the follower's thread. */
     interface Listener {
-        /** All rows so far have been read. */
-        void onSynced();
+        /**
+         * All rows up to a time have been read.
+         *
+         * @param storeMillis clock of the store, in milliseconds
+         */
+        void onSynced(long storeMillis);
 
         /** A workflow was accepted. */
         void onAccepted(WorkflowSpec spec);
@@ -37,7 +41,7 @@
 
     @Override
     public void onSynced(long version, long storeMillis) {
-        mListener.onSynced();
+        mListener.onSynced(storeMillis);
     }
 
     @Override
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LoadRows.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LoadRows.java
@@ -24,34 +24,49 @@
     /** Number of rows after which the others wait for a later commit. */
     private static final int MAX_ROWS = 8;
 
+    /**
+     * Rows to write with a commit.
+     *
+     * @param rows rows of the states table by key
+     * @param waiting number of waiting workflows of all queues
+     * @param isComplete whether the table then has the counts that were given
+     */
+    record Due(Map<String, byte[]> rows, int waiting, boolean isComplete) {
+        static final Due NOTHING = new Due(Map.of(), 0, false);
+    }
+
     private final Map<Integer, LoadRow> mDurable = new HashMap<>();
     private final Map<Integer, LoadRow> mInFlight = new HashMap<>();
     private int mRowCount = 1;
     private long mPublishedMillis;
 
     /**
-     * Returns the rows of the states table to write now by key, at most once per interval.
+     * Returns the rows to write now, at most once per interval.
      *
      * @param pending number of waiting workflows of each queue
      */
-    Map<String, byte[]> due(Map<String, Integer> pending, long nowMillis) {
+    Due due(Map<String, Integer> pending, long nowMillis) {
         mInFlight.clear();
         if (nowMillis - mPublishedMillis < INTERVAL_MILLIS) {
-            return Map.of();
+            return Due.NOTHING;
         }
         mPublishedMillis = nowMillis;
         Map<String, byte[]> writes = new LinkedHashMap<>();
+        boolean isComplete = true;
         int bytes = 0;
         for (Map.Entry<Integer, LoadRow> row : rowsOf(pending).entrySet()) {
             boolean isChanged = !row.getValue().equals(mDurable.get(row.getKey()));
-            if (isChanged && bytes < MAX_BYTES && writes.size() < MAX_ROWS) {
+            boolean fits = bytes < MAX_BYTES && writes.size() < MAX_ROWS;
+            isComplete &= fits || !isChanged;
+            if (isChanged && fits) {
                 byte[] value = MessageCodec.encode(row.getValue());
                 bytes += value.length;
                 writes.put(Schema.loadKey(row.getKey()), value);
                 mInFlight.put(row.getKey(), row.getValue());
             }
         }
-        return writes;
+        int waiting = pending.values().stream().mapToInt(Integer::intValue).sum();
+        return new Due(writes, waiting, isComplete);
     }
 
     private Map<Integer, LoadRow> rowsOf(Map<String, Integer> pending) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -38,6 +38,9 @@
     private static final SubmitResult STORE_SLOW =
             SubmitResult.notRun("all partitions of the table store are slow", 1_000);
 
+    /** Age of a number of waiting workflows that no owner has published. */
+    private static final long UNKNOWN_AGE = -1;
+
     /** Time within which a write has a result; callers wait for about 3 s. */
     static final long WRITE_LIMIT_MILLIS = 2_600;
 
@@ -340,6 +343,13 @@
 
     @Override
     public int pending(String queue) {
-        return mStates.pending(queue);
+        QueueCount count = mStates.countOf(queue);
+        long ageMillis =
+                count.countedMillis() == 0
+                        ? UNKNOWN_AGE
+                        : mStates.storeClock().millis() - count.countedMillis();
+        mMeters.recordQueueCount(ageMillis);
+        LOG.log(LogEvent.QUEUE_COUNTED, queue, count.waiting(), ageMillis, count.epoch());
+        return count.waiting();
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -226,13 +226,18 @@
 
     private CommitGroup nextGroup() {
         PendingChanges.Group changes = mChanges.next();
+        LoadRows.Due load = changes.load();
+        if (!load.rows().isEmpty()) {
+            mLoadMonitor.recordPublication(epoch(), load.waiting(), mChanges.acceptedAgeMillis());
+        }
         boolean releases = mReleasing && mChanges.isEmpty();
         return newGroup(changes, releases ? mRow.releasingCommit() : mRow.nextCommit());
     }
 
     /** Adds the check and the write of the owner's row to changes. */
     private CommitGroup newGroup(PendingChanges.Group changes, OwnerRow row) {
-        OwnerRow counted = row.withUnopenedCount(mUnopenedCount);
+        long countedMillis = Math.max(row.countedMillis(), changes.countedMillis());
+        OwnerRow counted = row.withUnopenedCount(mUnopenedCount).withCountedMillis(countedMillis);
         changes.batch().check(Schema.STATES, Schema.OWNER_KEY, mVersion);
         changes.batch().put(Schema.STATES, Schema.OWNER_KEY, MessageCodec.encode(counted));
         return new CommitGroup(changes, counted, mConfirmation.now());
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerLoadMonitor.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerLoadMonitor.java
@@ -81,6 +81,17 @@
         mMaxCommitMillis = Math.max(mMaxCommitMillis, millis);
     }
 
+    /**
+     * Records that the numbers of waiting workflows are published.
+     *
+     * @param waiting number of waiting workflows of all queues
+     * @param acceptedAgeMillis age of what is known of the accepted workflows, in milliseconds
+     */
+    void recordPublication(long epoch, int waiting, long acceptedAgeMillis) {
+        mMeters.recordAcceptedAge(acceptedAgeMillis);
+        LOG.log(LogEvent.LOAD_PUBLISHED, epoch, waiting, acceptedAgeMillis);
+    }
+
     /** Records the number of changed workflows that no commit includes yet. */
     void recordUncommittedWorkflows(int count) {
         mMaxUncommittedWorkflows = Math.max(mMaxUncommittedWorkflows, count);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
@@ -28,6 +28,8 @@
     private final CommitRows mRows;
     private final LoadRows mLoad = new LoadRows();
     private final RefusedWorkflows mRefused;
+    private long mWorkflowsReadMillis;
+    private long mReadAtMillis;
     private final PendingEnds mEnds = new PendingEnds();
     private final PendingStarts mStarts;
 
@@ -38,19 +40,26 @@
      * @param included rows of workflows among them
      * @param starts starts that become ready
      * @param ends processed ends of runs that become durable
+     * @param countedMillis clock of the store up to which the load rows then count accepted
+     *     workflows, in milliseconds; 0 if the batch does not change it
+     * @param load rows of the load among the batch
      */
     record Group(
             PartitionTable.Batch batch,
             CommitRows.Included included,
             PendingStarts.Taken starts,
-            Map<String, PoolScheduler.ProcessedEnds> ends) {
+            Map<String, PoolScheduler.ProcessedEnds> ends,
+            long countedMillis,
+            LoadRows.Due load) {
         /** Returns a group without changes. */
         static Group empty() {
             return new Group(
                     new PartitionTable.Batch(Schema.POOLS_PARTITION),
                     new CommitRows.Included(),
                     PendingStarts.Taken.NONE,
-                    Map.of());
+                    Map.of(),
+                    0,
+                    LoadRows.Due.NOTHING);
         }
 
         /** Returns whether the batch writes more than the owner's row. */
@@ -64,6 +73,7 @@
         mClock = clock;
         mRows = new CommitRows(scheduler, maxRowBytes);
         mRefused = new RefusedWorkflows(clock);
+        mReadAtMillis = clock.millis();
         mStarts = new PendingStarts(scheduler.rows()::isGang);
     }
 
@@ -72,6 +82,17 @@
         return mRows;
     }
 
+    /** Records the clock of the store up to which all accepted workflows have been added. */
+    void recordWorkflowsRead(long storeMillis) {
+        mWorkflowsReadMillis = storeMillis;
+        mReadAtMillis = mClock.millis();
+    }
+
+    /** Returns the age of what is known of the accepted workflows, in milliseconds. */
+    long acceptedAgeMillis() {
+        return mClock.millis() - mReadAtMillis;
+    }
+
     /** Marks a workflow as changed, whose rows are to be compared with those of a former owner. */
     void markChanged(String id) {
         mChangedIds.add(id);
@@ -116,9 +137,9 @@
         storable.removeIf(mRefused::contains);
         mEnds.capture(storable, mRows::waitingRows, mScheduler.processedEnds());
         // While refused rows are searched for, those of the load must not be taken for them.
-        Map<String, byte[]> load =
+        LoadRows.Due load =
                 mRefused.isSearching()
-                        ? Map.of()
+                        ? LoadRows.Due.NOTHING
                         : mLoad.due(mScheduler.pendingCounts(), mClock.millis());
         PartitionTable.Batch batch = new PartitionTable.Batch(Schema.POOLS_PARTITION);
         CommitRows.Included included =
@@ -126,14 +147,16 @@
                         batch,
                         mRefused.allowed(mChangedIds),
                         mStarts.workflows(),
-                        new CommitRows.Limits(MAX_ROWS - load.size(), mRefused.maxWorkflows()));
-        load.forEach((key, value) -> batch.put(Schema.STATES, key, value));
+                        new CommitRows.Limits(
+                                MAX_ROWS - load.rows().size(), mRefused.maxWorkflows()));
+        load.rows().forEach((key, value) -> batch.put(Schema.STATES, key, value));
         mChangedIds.removeAll(included.complete());
         // A workflow whose rows take several commits does not keep others from theirs.
         mChangedIds.removeAll(included.remaining().keySet());
         mChangedIds.addAll(included.remaining().keySet());
         PendingStarts.Taken starts = mStarts.take(it -> mRows.includes(included, it));
-        return new Group(batch, included, starts, mEnds.take(included));
+        long countedMillis = load.isComplete() ? mWorkflowsReadMillis : 0;
+        return new Group(batch, included, starts, mEnds.take(included), countedMillis, load);
     }
 
     /** Records that a group is durable. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -308,7 +308,8 @@
                         epoch,
                         0,
                         false,
-                        former.map(OwnerRow::unopenedCount).getOrElse(0));
+                        former.map(OwnerRow::unopenedCount).getOrElse(0),
+                        former.map(OwnerRow::countedMillis).getOrElse(0L));
         PartitionTable.Batch batch = new PartitionTable.Batch(Schema.POOLS_PARTITION);
         batch.check(Schema.STATES, Schema.OWNER_KEY, former.isEmpty() ? 0 : version);
         batch.put(Schema.STATES, Schema.OWNER_KEY, MessageCodec.encode(row));
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
@@ -34,8 +34,7 @@
     private final StoreClock mStoreClock;
     private volatile long mLastAnswerMillis = -1;
 
-    /** Waiting workflows by queue, by key of the row. */
-    private final Map<String, LoadRow> mLoad = new ConcurrentHashMap<>();
+    private final QueueCountCache mCounts = new QueueCountCache();
 
     /** Receives the owner's row. All calls come from one thread. */
     interface OwnerListener {
@@ -100,10 +99,8 @@
         return mStatuses.computeIfAbsent(status, it -> it);
     }
 
-    int pending(String queue) {
-        int rowCount = mLoad.getOrDefault(Schema.LOAD_KEY, LoadRow.NONE).rowCount();
-        String key = Schema.loadKey(LoadRow.numberOf(queue, rowCount));
-        return mLoad.getOrDefault(key, LoadRow.NONE).pending().getOrDefault(queue, 0);
+    QueueCount countOf(String queue) {
+        return mCounts.countOf(queue);
     }
 
     private final class StateRowListener implements TableFollower.Listener {
@@ -117,13 +114,14 @@
                             value == null
                                     ? Option.none()
                                     : Option.some(MessageCodec.decode(value, OwnerRow.class));
+                    row.forEach(mCounts::putOwner);
                     mOwnerListener.onOwnerRow(row, entry.version());
                 } else if (Schema.isLoadKey(key)) {
                     LoadRow row =
                             value == null
                                     ? LoadRow.NONE
                                     : MessageCodec.decode(value, LoadRow.class);
-                    mLoad.put(key, row);
+                    mCounts.putLoad(key, row);
                 } else if (value == null) {
                     mStates.remove(key);
                 } else {
@@ -136,6 +134,7 @@
 
         @Override
         public void onSynced(long version, long storeMillis) {
+            mCounts.onSynced();
             mLastAnswerMillis = mClock.millis();
             mStoreClock.recordReading(storeMillis);
             mOwnerListener.onSynced(storeMillis);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadRowsTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadRowsTest.java
@@ -16,7 +16,7 @@
 
     private void publish(LoadRows rows, Map<String, Integer> pending) {
         mNowMillis += LoadRows.INTERVAL_MILLIS;
-        Map<String, byte[]> due = rows.due(pending, mNowMillis);
+        Map<String, byte[]> due = rows.due(pending, mNowMillis).rows();
         due.values().forEach(it -> assertTrue(it.length < 65_536, "row of " + it.length));
         mTable.putAll(due);
         rows.recordDurable();
@@ -75,7 +75,7 @@
     @Test
     void loadThatWasNotWrittenIsPublishedAgain() throws IOException {
         LoadRows rows = new LoadRows();
-        rows.due(Map.of("q", 2), mNowMillis);
+        assertEquals(1, rows.due(Map.of("q", 2), mNowMillis).rows().size());
         rows.forgetUnwritten();
         publish(rows, Map.of("q", 2));
         assertEquals(2, pending("q"));
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OpeningGuardTest.java
@@ -76,7 +76,7 @@
 
     private void begin(int unopenedCount) {
         mOwner.begin(
-                new OwnerRow("d", "run", "127.0.0.1:1", 1, 0, false, unopenedCount),
+                new OwnerRow("d", "run", "127.0.0.1:1", 1, 0, false, unopenedCount, 0),
                 1,
                 PoolConfig.NONE);
     }
