--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LoadRows.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LoadRows.java
@@ -12,7 +12,7 @@
  * with the number of queues. Queues without waiting workflows are left out.
  */
 final class LoadRows {
-    /** Interval between two publications of the load. */
+    /** Interval between two publications of a changed load. */
     static final long INTERVAL_MILLIS = 500;
 
     /** Number of queues in a row on average. */
@@ -24,49 +24,79 @@
     /** Number of rows after which the others wait for a later commit. */
     private static final int MAX_ROWS = 8;
 
+    private final Map<Integer, LoadRow> mDurable = new HashMap<>();
+    private final Map<Integer, LoadRow> mInFlight = new HashMap<>();
+
+    /** Rows of the publication that is not durable yet; empty if there is none. */
+    private final Map<Integer, LoadRow> mTarget = new TreeMap<>();
+
+    private long mTargetCountedMillis;
+    private int mRowCount = 1;
+
+    /** Number of rows that readers distribute the queues over; 0 before the first publication. */
+    private int mDurableRowCount;
+
+    private long mPublishedMillis;
+
     /**
      * Rows to write with a commit.
      *
      * @param rows rows of the states table by key
      * @param waiting number of waiting workflows of all queues
-     * @param isComplete whether the table then has the counts that were given
+     * @param countedMillis time of the numbers that the table then has, as given with them; 0 if
+     *     the table then has rows of two publications; {@link #UNCHANGED} if it has the former ones
      */
-    record Due(Map<String, byte[]> rows, int waiting, boolean isComplete) {
-        static final Due NOTHING = new Due(Map.of(), 0, false);
+    record Due(Map<String, byte[]> rows, int waiting, long countedMillis) {
+        static final long UNCHANGED = -1;
+        static final Due NOTHING = new Due(Map.of(), 0, UNCHANGED);
     }
 
-    private final Map<Integer, LoadRow> mDurable = new HashMap<>();
-    private final Map<Integer, LoadRow> mInFlight = new HashMap<>();
-    private int mRowCount = 1;
-    private long mPublishedMillis;
-
     /**
      * Returns the rows to write now, at most once per interval.
      *
      * @param pending number of waiting workflows of each queue
+     * @param countedMillis clock of the store up to which accepted workflows are counted, in
+     *     milliseconds
      */
-    Due due(Map<String, Integer> pending, long nowMillis) {
+    Due due(Map<String, Integer> pending, long countedMillis, long nowMillis) {
         mInFlight.clear();
-        if (nowMillis - mPublishedMillis < INTERVAL_MILLIS) {
-            return Due.NOTHING;
+        if (mTarget.isEmpty()) {
+            Map<Integer, LoadRow> rows = rowsOf(pending);
+            if (mDurableRowCount == mRowCount && mDurable.equals(rows)) {
+                return new Due(Map.of(), 0, countedMillis);
+            }
+            if (nowMillis - mPublishedMillis < INTERVAL_MILLIS) {
+                return Due.NOTHING;
+            }
+            mPublishedMillis = nowMillis;
+            mTarget.putAll(rows);
+            mTargetCountedMillis = countedMillis;
         }
-        mPublishedMillis = nowMillis;
+        return nextOfTarget();
+    }
+
+    private Due nextOfTarget() {
         Map<String, byte[]> writes = new LinkedHashMap<>();
         boolean isComplete = true;
+        int waiting = 0;
         int bytes = 0;
-        for (Map.Entry<Integer, LoadRow> row : rowsOf(pending).entrySet()) {
-            boolean isChanged = !row.getValue().equals(mDurable.get(row.getKey()));
-            boolean fits = bytes < MAX_BYTES && writes.size() < MAX_ROWS;
-            isComplete &= fits || !isChanged;
-            if (isChanged && fits) {
-                byte[] value = MessageCodec.encode(row.getValue());
-                bytes += value.length;
-                writes.put(Schema.loadKey(row.getKey()), value);
-                mInFlight.put(row.getKey(), row.getValue());
+        for (Map.Entry<Integer, LoadRow> row : mTarget.entrySet()) {
+            waiting += row.getValue().pending().values().stream().mapToInt(it -> it).sum();
+            if (row.getValue().equals(mDurable.get(row.getKey()))) {
+                continue;
             }
+            if (bytes >= MAX_BYTES || writes.size() >= MAX_ROWS) {
+                isComplete = false;
+                continue;
+            }
+            byte[] value = MessageCodec.encode(row.getValue());
+            bytes += value.length;
+            writes.put(Schema.loadKey(row.getKey()), value);
+            mInFlight.put(row.getKey(), row.getValue());
         }
-        int waiting = pending.values().stream().mapToInt(Integer::intValue).sum();
-        return new Due(writes, waiting, isComplete);
+        // Rows of the former publication stay right for as long as the queues stay in their rows.
+        long partialMillis = mDurableRowCount == mRowCount ? Due.UNCHANGED : 0;
+        return new Due(writes, waiting, isComplete ? mTargetCountedMillis : partialMillis);
     }
 
     private Map<Integer, LoadRow> rowsOf(Map<String, Integer> pending) {
@@ -91,6 +121,10 @@
     void recordDurable() {
         mDurable.putAll(mInFlight);
         mInFlight.clear();
+        if (!mTarget.isEmpty() && mDurable.equals(mTarget)) {
+            mDurableRowCount = mTarget.size();
+            mTarget.clear();
+        }
     }
 
     /** Forgets the last rows, which the store has not taken. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -236,8 +236,11 @@
 
     /** Adds the check and the write of the owner's row to changes. */
     private CommitGroup newGroup(PendingChanges.Group changes, OwnerRow row) {
-        long countedMillis = Math.max(row.countedMillis(), changes.countedMillis());
-        OwnerRow counted = row.withUnopenedCount(mUnopenedCount).withCountedMillis(countedMillis);
+        long countedMillis = changes.load().countedMillis();
+        boolean isUnchanged = countedMillis == LoadRows.Due.UNCHANGED;
+        OwnerRow counted =
+                row.withUnopenedCount(mUnopenedCount)
+                        .withCountedMillis(isUnchanged ? row.countedMillis() : countedMillis);
         changes.batch().check(Schema.STATES, Schema.OWNER_KEY, mVersion);
         changes.batch().put(Schema.STATES, Schema.OWNER_KEY, MessageCodec.encode(counted));
         return new CommitGroup(changes, counted, mConfirmation.now());
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
@@ -30,6 +30,7 @@
     private final RefusedWorkflows mRefused;
     private long mWorkflowsReadMillis;
     private long mReadAtMillis;
+    private boolean mOpen;
     private final PendingEnds mEnds = new PendingEnds();
     private final PendingStarts mStarts;
 
@@ -40,8 +41,6 @@
      * @param included rows of workflows among them
      * @param starts starts that become ready
      * @param ends processed ends of runs that become durable
-     * @param countedMillis clock of the store up to which the load rows then count accepted
-     *     workflows, in milliseconds; 0 if the batch does not change it
      * @param load rows of the load among the batch
      */
     record Group(
@@ -49,7 +48,6 @@
             CommitRows.Included included,
             PendingStarts.Taken starts,
             Map<String, PoolScheduler.ProcessedEnds> ends,
-            long countedMillis,
             LoadRows.Due load) {
         /** Returns a group without changes. */
         static Group empty() {
@@ -58,7 +56,6 @@
                     new CommitRows.Included(),
                     PendingStarts.Taken.NONE,
                     Map.of(),
-                    0,
                     LoadRows.Due.NOTHING);
         }
 
@@ -82,6 +79,11 @@
         return mRows;
     }
 
+    /** Publishes the load from now on, as all workflows accepted before have been added. */
+    void openLoad() {
+        mOpen = true;
+    }
+
     /** Records the clock of the store up to which all accepted workflows have been added. */
     void recordWorkflowsRead(long storeMillis) {
         mWorkflowsReadMillis = storeMillis;
@@ -136,11 +138,7 @@
         Set<String> storable = new LinkedHashSet<>(mChangedIds);
         storable.removeIf(mRefused::contains);
         mEnds.capture(storable, mRows::waitingRows, mScheduler.processedEnds());
-        // While refused rows are searched for, those of the load must not be taken for them.
-        LoadRows.Due load =
-                mRefused.isSearching()
-                        ? LoadRows.Due.NOTHING
-                        : mLoad.due(mScheduler.pendingCounts(), mClock.millis());
+        LoadRows.Due load = dueLoad();
         PartitionTable.Batch batch = new PartitionTable.Batch(Schema.POOLS_PARTITION);
         CommitRows.Included included =
                 mRows.put(
@@ -155,8 +153,15 @@
         mChangedIds.removeAll(included.remaining().keySet());
         mChangedIds.addAll(included.remaining().keySet());
         PendingStarts.Taken starts = mStarts.take(it -> mRows.includes(included, it));
-        long countedMillis = load.isComplete() ? mWorkflowsReadMillis : 0;
-        return new Group(batch, included, starts, mEnds.take(included), countedMillis, load);
+        return new Group(batch, included, starts, mEnds.take(included), load);
+    }
+
+    private LoadRows.Due dueLoad() {
+        // While refused rows are searched for, those of the load must not be taken for them.
+        if (!mOpen || mRefused.isSearching()) {
+            return LoadRows.Due.NOTHING;
+        }
+        return mLoad.due(mScheduler.pendingCounts(), mWorkflowsReadMillis, mClock.millis());
     }
 
     /** Records that a group is durable. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -28,6 +28,10 @@
     private static final EventLogger LOG = EventLogger.of(PoolOwner.class);
     private static final long TICK_MILLIS = 50;
     private static final long READ_WAIT_MILLIS = 1_000;
+
+    /** The published load is as old as the last read of the jobs. */
+    private static final long JOB_READ_WAIT_MILLIS = 300;
+
     private static final long JOB_READ_PAUSE_MILLIS = 10;
     private static final long WORKER_READ_PAUSE_MILLIS = 200;
     private static final long STOP_TIMEOUT_MILLIS = 500;
@@ -148,7 +152,7 @@
                 new TableFollower.Subscription(
                         Schema.JOBS,
                         Schema.jobPartitions(),
-                        READ_WAIT_MILLIS,
+                        JOB_READ_WAIT_MILLIS,
                         JOB_READ_PAUSE_MILLIS),
                 new JobRowReader(workflows));
     }
@@ -322,6 +326,7 @@
         }
         mPlacing = true;
         mWorkflows.deleteLeftovers();
+        mCommitter.changes().openLoad();
         mOpeningGuard.onOpened();
         long millis = mClock.millis() - mScheduler.ownershipStartMillis();
         LOG.log(LogEvent.POOLS_OPENED, mCommitter.epoch(), mScheduler.workflowCount(), millis);
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
@@ -24,6 +24,9 @@
     private static final EventLogger LOG = EventLogger.of(TableFollower.class);
     private static final long RETRY_DELAY_MILLIS = 150;
 
+    /** Number of rows that the store returns at most in one answer. */
+    private static final int MAX_PAGE_ROWS = 500;
+
     /** Limit beyond the wait of a poll whose answer gets lost in this process. */
     private static final long POLL_LIMIT_MILLIS = 15_000;
 
@@ -157,11 +160,18 @@
         page.entries().stream()
                 .filter(row -> mSubscription.partitions().contains(row.key().partition()))
                 .forEach(mListener::onRow);
-        mListener.onSynced(page.version(), page.storeMillis());
+        if (isWhole(page)) {
+            mListener.onSynced(page.version(), page.storeMillis());
+        }
         Thread.sleep(mSubscription.pauseMillis());
         return Math.max(version, page.version());
     }
 
+    /** Returns whether an answer has all changes up to its time. */
+    private static boolean isWhole(PartitionTable.Page page) {
+        return !page.hasMore() && page.entries().size() < MAX_PAGE_ROWS;
+    }
+
     private Either<TableError, PartitionTable.Page> poll(long version) throws InterruptedException {
         long waitMillis = mSubscription.waitMillis();
         CompletableFuture<Either<TableError, PartitionTable.Page>> poll =
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadRowsTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadRowsTest.java
@@ -13,10 +13,16 @@
 class LoadRowsTest {
     private final Map<String, byte[]> mTable = new HashMap<>();
     private long mNowMillis = 10_000;
+    private long mCountedMillis;
 
     private void publish(LoadRows rows, Map<String, Integer> pending) {
         mNowMillis += LoadRows.INTERVAL_MILLIS;
-        Map<String, byte[]> due = rows.due(pending, mNowMillis).rows();
+        LoadRows.Due publication = rows.due(pending, mNowMillis, mNowMillis);
+        Map<String, byte[]> due = publication.rows();
+        mCountedMillis =
+                publication.countedMillis() == LoadRows.Due.UNCHANGED
+                        ? mCountedMillis
+                        : publication.countedMillis();
         due.values().forEach(it -> assertTrue(it.length < 65_536, "row of " + it.length));
         mTable.putAll(due);
         rows.recordDurable();
@@ -75,7 +81,7 @@
     @Test
     void loadThatWasNotWrittenIsPublishedAgain() throws IOException {
         LoadRows rows = new LoadRows();
-        assertEquals(1, rows.due(Map.of("q", 2), mNowMillis).rows().size());
+        assertEquals(1, rows.due(Map.of("q", 2), mNowMillis, mNowMillis).rows().size());
         rows.forgetUnwritten();
         publish(rows, Map.of("q", 2));
         assertEquals(2, pending("q"));
@@ -88,4 +94,43 @@
         mTable.put(Schema.LOAD_KEY, MessageCodec.encode(new FormerLoadRow(Map.of("a", 1, "b", 2))));
         assertEquals(2, pending("b"));
     }
+
+    // Guards against a count of zero for queues whose row is not written yet: the rows of two
+    // publications distribute the queues in two ways.
+    @Test
+    void countIsUnknownWhileTheRowsOfTwoPublicationsAreMixed() {
+        LoadRows rows = new LoadRows();
+        publish(rows, queues(10));
+        assertEquals(mNowMillis, mCountedMillis);
+        publish(rows, queues(6_000));
+        assertEquals(0, mCountedMillis);
+        for (int i = 0; i < 40; i++) {
+            publish(rows, queues(6_000));
+        }
+        assertEquals(mNowMillis, mCountedMillis);
+    }
+
+    // Guards against counts that a constant change of many rows keeps unknown.
+    @Test
+    void changingLoadOfManyRowsIsPublishedWhole() throws IOException {
+        LoadRows rows = new LoadRows();
+        for (int i = 0; i < 100; i++) {
+            Map<String, Integer> pending = queues(6_000);
+            int shift = i;
+            pending.replaceAll((queue, count) -> count + shift);
+            publish(rows, pending);
+        }
+        assertTrue(mNowMillis - mCountedMillis < 30 * LoadRows.INTERVAL_MILLIS);
+        assertTrue(pending("queue-with-a-name-of-a-usual-length-0") > 70);
+    }
+
+    // Guards against an unchanged load that seems to age.
+    @Test
+    void unchangedLoadIsConfirmedWithoutRows() {
+        LoadRows rows = new LoadRows();
+        publish(rows, Map.of("q", 2));
+        LoadRows.Due due = rows.due(Map.of("q", 2), 20_000, mNowMillis + 1);
+        assertEquals(Map.of(), due.rows());
+        assertEquals(20_000, due.countedMillis());
+    }
 }
