--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
@@ -62,9 +62,15 @@
         timer("hyssop.approvals", "outcome", outcome).record(Duration.ofMillis(millis));
     }
 
-    /** Records an answered number of waiting workflows by its age, if that is known. */
-    public void recordQueueCount(long ageMillis) {
-        timer("hyssop.queue.count.age").record(Duration.ofMillis(ageMillis));
+    /**
+     * Records a number of waiting workflows that a caller has asked for.
+     *
+     * @param answered whether it was recent enough to be answered
+     * @param ageMillis age in milliseconds
+     */
+    public void recordQueueCount(boolean answered, long ageMillis) {
+        timer("hyssop.queue.count.age", "answered", Boolean.toString(answered))
+                .record(Duration.ofMillis(ageMillis));
     }
 
     /** Records the age of what the owner of the pools has read of the accepted workflows. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ForwardingWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ForwardingWorkflowService.java
@@ -172,7 +172,7 @@
     }
 
     @Override
-    public int pending(String queue) {
+    public Option<Integer> pending(String queue) {
         return mLocal.pending(queue);
     }
 
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -38,8 +38,8 @@
     private static final SubmitResult STORE_SLOW =
             SubmitResult.notRun("all partitions of the table store are slow", 1_000);
 
-    /** Age of a number of waiting workflows that no owner has published. */
-    private static final long UNKNOWN_AGE = -1;
+    /** Number of waiting workflows or age in the log if it is not known. */
+    private static final int UNKNOWN = -1;
 
     /** Time within which a write has a result; callers wait for about 3 s. */
     static final long WRITE_LIMIT_MILLIS = 2_600;
@@ -342,14 +342,16 @@
     }
 
     @Override
-    public int pending(String queue) {
-        QueueCount count = mStates.countOf(queue);
-        long ageMillis =
-                count.countedMillis() == 0
-                        ? UNKNOWN_AGE
-                        : mStates.storeClock().millis() - count.countedMillis();
-        mMeters.recordQueueCount(ageMillis);
-        LOG.log(LogEvent.QUEUE_COUNTED, queue, count.waiting(), ageMillis, count.epoch());
-        return count.waiting();
+    public Option<Integer> pending(String queue) {
+        Option<QueueCount> count = mStates.countOf(queue);
+        Option<QueueCount> answered = count.filter(QueueCount::isRecent);
+        count.forEach(it -> mMeters.recordQueueCount(answered.isDefined(), it.ageMillis()));
+        LOG.log(
+                LogEvent.QUEUE_COUNTED,
+                queue,
+                answered.map(QueueCount::waiting).getOrElse(UNKNOWN),
+                count.map(QueueCount::ageMillis).getOrElse((long) UNKNOWN),
+                count.map(QueueCount::epoch).getOrElse(0L));
+        return answered.map(QueueCount::waiting);
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -120,7 +120,9 @@
                         ports.peers(),
                         mThread,
                         () -> campaignIfDue(storeMillis()));
-        mStates = new WorkflowStateCache(ports.table(), new OwnerRowListener(), ports.clock());
+        mStates =
+                new WorkflowStateCache(
+                        ports.table(), new OwnerRowListener(), ports.clock(), ports.timeOfDay());
         mHedgedTable = new HedgedTable(ports.table(), mThread, ports.clock(), ports.meters());
         UnreachablePeers unreachable = new UnreachablePeers(ports.clock());
         SubmissionGrouping grouping =
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowService.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.daemon.workflow;
 
+import io.vavr.control.Option;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 
@@ -31,8 +32,11 @@
      */
     CompletableFuture<CancelResult> cancel(String id, String workspace);
 
-    /** Returns the number of workflows of a queue that wait for their first start. */
-    int pending(String queue);
+    /**
+     * Returns the number of workflows of a queue that wait for their first start. It counts all
+     * that were accepted 2 s ago; none if no such number is known.
+     */
+    Option<Integer> pending(String queue);
 
     /** Result of a cancellation. */
     enum CancelResult {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.io.IOException;
+import java.time.Clock;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
@@ -34,7 +35,7 @@
     private final StoreClock mStoreClock;
     private volatile long mLastAnswerMillis = -1;
 
-    private final QueueCountCache mCounts = new QueueCountCache();
+    private final QueueCountCache mCounts;
 
     /** Receives the owner's row. All calls come from one thread. */
     interface OwnerListener {
@@ -48,9 +49,19 @@
         void onReadFailed();
     }
 
-    WorkflowStateCache(PartitionTable table, OwnerListener ownerListener, MonotonicClock clock) {
+    /**
+     * Creates a cache that is empty before {@link #start()}.
+     *
+     * @param timeOfDay time of day, which goes on while the machine is suspended
+     */
+    WorkflowStateCache(
+            PartitionTable table,
+            OwnerListener ownerListener,
+            MonotonicClock clock,
+            Clock timeOfDay) {
         mClock = clock;
         mStoreClock = new StoreClock(clock);
+        mCounts = new QueueCountCache(clock, timeOfDay, mStoreClock);
         mOwnerListener = ownerListener;
         mFollower =
                 new TableFollower(
@@ -99,11 +110,17 @@
         return mStatuses.computeIfAbsent(status, it -> it);
     }
 
-    QueueCount countOf(String queue) {
+    /** Returns the number of waiting workflows of a queue; none if no owner has published it. */
+    Option<QueueCount> countOf(String queue) {
         return mCounts.countOf(queue);
     }
 
     private final class StateRowListener implements TableFollower.Listener {
+        @Override
+        public void onReset() {
+            mCounts.onReset();
+        }
+
         @Override
         public void onRow(PartitionTable.Entry entry) {
             byte[] value = entry.value();
@@ -134,9 +151,9 @@
 
         @Override
         public void onSynced(long version, long storeMillis) {
-            mCounts.onSynced();
             mLastAnswerMillis = mClock.millis();
             mStoreClock.recordReading(storeMillis);
+            mCounts.onSynced();
             mOwnerListener.onSynced(storeMillis);
         }
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Option;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -66,7 +67,8 @@
         LocalWorkflowService.Ports ports =
                 new LocalWorkflowService.Ports(
                         mTable, mThread, mThread, new WorkflowMeters(), LimitedTable.MAX_ROW_BYTES);
-        WorkflowStateCache states = new WorkflowStateCache(mTable, new NoOwner(), mThread);
+        WorkflowStateCache states =
+                new WorkflowStateCache(mTable, new NoOwner(), mThread, Clock.systemUTC());
         states.storeClock().recordReading(1 + mThread.millis());
         return new LocalWorkflowService(ports, states, millis -> {});
     }
@@ -147,7 +149,7 @@
                 new LocalWorkflowService(
                         new LocalWorkflowService.Ports(
                                 former, mThread, mThread, new WorkflowMeters(), 65_536),
-                        new WorkflowStateCache(former, new NoOwner(), mThread),
+                        new WorkflowStateCache(former, new NoOwner(), mThread, Clock.systemUTC()),
                         millis -> {});
         assertEquals(WorkflowService.CancelResult.ABSENT, cancel(late, ""));
         for (PartitionTable.Entry row : former.rows(Schema.JOBS)) {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/JobRowLimitsTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/JobRowLimitsTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Option;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Objects;
@@ -29,7 +30,7 @@
                             mThread,
                             new WorkflowMeters(),
                             LimitedTable.MAX_ROW_BYTES),
-                    new WorkflowStateCache(mTable, new NoOwner(), mThread),
+                    new WorkflowStateCache(mTable, new NoOwner(), mThread, Clock.systemUTC()),
                     millis -> {});
 
     private static WorkflowSpec workflow(String id, int steps, String image) {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
@@ -5,6 +5,7 @@
 
 import io.vavr.control.Either;
 import io.vavr.control.Option;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -100,7 +101,8 @@
                                 mThread,
                                 new WorkflowMeters(),
                                 WorkflowSettings.DEFAULT_MAX_ROW_BYTES),
-                        new WorkflowStateCache(mTable, new IgnoringListener(), mThread),
+                        new WorkflowStateCache(
+                                mTable, new IgnoringListener(), mThread, Clock.systemUTC()),
                         millis -> {},
                         gate);
         StepSpec step =
@@ -144,7 +146,7 @@
                         mThread,
                         new WorkflowMeters(),
                         WorkflowSettings.DEFAULT_MAX_ROW_BYTES),
-                new WorkflowStateCache(mTable, new IgnoringListener(), mThread),
+                new WorkflowStateCache(mTable, new IgnoringListener(), mThread, Clock.systemUTC()),
                 millis -> {});
     }
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SubmissionGroupingTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/SubmissionGroupingTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.time.Clock;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -168,7 +169,8 @@
                             new WorkflowStateCache(
                                     mTable,
                                     new LocalWorkflowServiceTest.IgnoringListener(),
-                                    mThread),
+                                    mThread,
+                                    Clock.systemUTC()),
                             grouping::recordWrite);
             mDaemons.put(
                     self.address(),
