--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
@@ -20,6 +20,12 @@
     /** Rows of a commit besides the owner's row, whose check and write are two of 100 entries. */
     private static final int MAX_ROWS = 98;
 
+    /**
+     * Time after the opening of the pools in which the load waits for the first reports of the
+     * workers. Workflows that may have begun are counted as waiting then.
+     */
+    private static final long SETTLE_MILLIS = 1_500;
+
     private static final EventLogger LOG = EventLogger.of(PendingChanges.class);
 
     private final PoolScheduler mScheduler;
@@ -31,6 +37,7 @@
     private long mWorkflowsReadMillis;
     private long mReadAtMillis;
     private boolean mOpen;
+    private long mOpenedMillis;
     private final PendingEnds mEnds = new PendingEnds();
     private final PendingStarts mStarts;
 
@@ -82,6 +89,7 @@
     /** Publishes the load from now on, as all workflows accepted before have been added. */
     void openLoad() {
         mOpen = true;
+        mOpenedMillis = mClock.millis();
     }
 
     /** Records the clock of the store up to which all accepted workflows have been added. */
@@ -156,12 +164,18 @@
         return new Group(batch, included, starts, mEnds.take(included), load);
     }
 
+    /** Returns whether workers will soon tell which workflows have begun under a former owner. */
+    private boolean isSettling() {
+        return mClock.millis() - mOpenedMillis < SETTLE_MILLIS
+                && mScheduler.queued().unsettledCount() > 0;
+    }
+
     private LoadRows.Due dueLoad() {
         // While refused rows are searched for, those of the load must not be taken for them.
-        if (!mOpen || mRefused.isSearching()) {
+        if (!mOpen || mRefused.isSearching() || isSettling()) {
             return LoadRows.Due.NOTHING;
         }
-        return mLoad.due(mScheduler.pendingCounts(), mWorkflowsReadMillis, mClock.millis());
+        return mLoad.due(mScheduler.queued().counts(), mWorkflowsReadMillis, mClock.millis());
     }
 
     /** Records that a group is durable. */
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCancelTest.java
@@ -134,7 +134,7 @@
         follow();
         assertEquals(WorkflowState.CANCELLED, state());
         assertEquals(0, mScheduler.waitingStepCount());
-        assertEquals(Map.of("batch", 0), mScheduler.pendingCounts());
+        assertEquals(Map.of("batch", 0), mScheduler.queued().counts());
     }
 
     // Fault: the store carries the submission out between the read and the write of the
@@ -234,7 +234,7 @@
         }
         follow();
         assertEquals(0, mScheduler.workflowCount());
-        assertEquals(Map.of(), mScheduler.pendingCounts());
+        assertEquals(Map.of(), mScheduler.queued().counts());
         assertTrue(mChanges.isEmpty());
     }
 
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadPublicationTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadPublicationTest.java
@@ -5,9 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
 import org.hyssoprouter.internal.workflow.PoolScheduler;
+import org.hyssoprouter.internal.workflow.WorkflowRow;
+import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.util.MessageCodec;
 import org.junit.jupiter.api.Test;
 
@@ -58,6 +61,22 @@
         assertEquals(71_000, commit().load().countedMillis());
     }
 
+    // Guards against counts that rise at each takeover by all workflows whose first run is active.
+    @Test
+    void countsWaitForTheWorkersThatHaveRunsOfAFormerOwner() {
+        WorkflowRow.TaskRow task =
+                new WorkflowRow.TaskRow(0, 1, 0, false, "w", "", 0, List.of(), 0, 0);
+        WorkflowRow.StepRow step = new WorkflowRow.StepRow(0, 0, 0, "", List.of(task), 0);
+        WorkflowRow row =
+                new WorkflowRow("batch", WorkflowState.ACTIVE, List.of(), List.of(step), "");
+        mScheduler.restoreWorkflow(SchedulerFixture.workflow("a", 1, false), row, 0, 0);
+        mChanges.recordWorkflowsRead(70_000);
+        mChanges.openLoad();
+        assertFalse(hasLoad(commit()));
+        assertFalse(hasLoad(commit()));
+        assertTrue(hasLoad(commit()), "a silent worker does not hold the counts back for long");
+    }
+
     private void add(String id) {
         mFixture.submit(id);
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/OwnerCommitterTest.java
@@ -177,9 +177,9 @@
         mCommitter.commitIfDue();
         assertEquals(List.of(WorkflowState.ACTIVE), mTable.statesOf(SchedulerFixture.WORKFLOW));
         mTable.answer();
-        assertEquals(1, mScheduler.pendingCounts().get("batch"), "no run has begun yet");
+        assertEquals(1, mScheduler.queued().counts().get("batch"), "no run has begun yet");
         mScheduler.handleStartOutcome(order, StartOutcome.ACCEPTED, mNowMillis);
-        assertEquals(0, mScheduler.pendingCounts().get("batch"));
+        assertEquals(0, mScheduler.queued().counts().get("batch"));
         assertEquals(0, mScheduler.output().takeChangedWorkflows().size());
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -406,12 +406,9 @@
         return mRows.row(id);
     }
 
-    /**
-     * Returns the number of workflows without a started task, by queue. Scheduled workflows do not
-     * count.
-     */
-    public Map<String, Integer> pendingCounts() {
-        return mState.pendingCounts();
+    /** Returns the workflows that wait for their first start. */
+    public QueuedWorkflows queued() {
+        return new QueuedWorkflows(mState);
     }
 
     /** Returns whether a workflow is known and in a terminal state. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -127,20 +127,6 @@
                         nowMillis - mOwnedMillis);
     }
 
-    /**
-     * Returns the number of workflows without a started task, by queue. Scheduled workflows do not
-     * count.
-     */
-    Map<String, Integer> pendingCounts() {
-        Map<String, Integer> counts = new HashMap<>();
-        for (Workflow workflow : mWorkflows.values()) {
-            boolean isPending =
-                    !workflow.mBegun && !workflow.mState.isFinal() && !workflow.mSpec.hasSchedule();
-            counts.merge(workflow.mSpec.queue(), isPending ? 1 : 0, Integer::sum);
-        }
-        return counts;
-    }
-
     /** Returns the workspace and the room of a task, or none if its workflow is unknown. */
     Option<WorkspaceRoom> roomOf(TaskKey key) {
         Workflow workflow = mWorkflows.get(key.step().workflow());
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -106,7 +106,14 @@
         if (isFresh) {
             mState.mProgress.begin(task, nowMillis);
         }
-        task.mStep.mWorkflow.mBegun = true;
+        recordBegun(task.mStep);
+    }
+
+    /** Records that a worker has begun a run. The members of a gang begin once all are present. */
+    private static void recordBegun(Step step) {
+        if (!step.mSpec.gang() || step.count(Task.Phase.RUNNING) == step.mSpec.taskCount()) {
+            step.mWorkflow.mBegun = true;
+        }
     }
 
     private void handleRejectedStart(
@@ -252,6 +259,10 @@
                 task.mKey,
                 "run ended",
                 "worker=" + worker + " run=" + end.run() + " " + end.kind());
+        // A member of a gang may have waited for the others in vain.
+        if (!task.mStep.mSpec.gang() || end.kind() == EndKind.FAILED) {
+            workflow.mBegun = true;
+        }
         boolean completed = end.kind() == EndKind.DONE && !task.mStep.mSpec.habits().longRunning();
         if (completed) {
             mHealth.recordSuccess(worker);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
@@ -88,6 +88,13 @@
                         });
     }
 
+    /** Returns whether a former owner has ordered a run whose worker has not reported since. */
+    boolean hasInheritedRuns() {
+        return mOccurrences.values().stream()
+                .flatMap(List::stream)
+                .anyMatch(step -> step.count(Task.Phase.INHERITED) > 0);
+    }
+
     /** Returns whether all occurrences have ended. */
     boolean isComplete() {
         return mEndedOccurrences.size() >= mSpec.occurrenceCount();
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowParts.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowParts.java
@@ -223,7 +223,12 @@
                     }
                 });
         return new WorkflowRow(
-                main.queue(), main.state(), new ArrayList<>(ended), rows, main.reason());
+                main.queue(),
+                main.state(),
+                new ArrayList<>(ended),
+                rows,
+                main.reason(),
+                main.begun());
     }
 
     private static JoinedStep joined(Map<StepKey, JoinedStep> steps, WorkflowRow.StepRow step) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
@@ -5,7 +5,6 @@
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.WorkerEntry;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
-import org.hyssoprouter.lib.workflow.WorkflowState;
 
 /** Restores the workflows of a previous owner from their durable rows. */
 final class WorkflowRestorer {
@@ -25,7 +24,7 @@
     void restore(WorkflowSpec spec, WorkflowRow row, long acceptedMillis) {
         Workflow workflow = new Workflow(spec, acceptedMillis);
         workflow.mState = row.state();
-        workflow.mBegun = row.state() != WorkflowState.PENDING;
+        workflow.mBegun = row.hasBegun();
         workflow.mReason = row.reason();
         workflow.mEndedOccurrences.addAll(row.endedOccurrences());
         mState.mWorkflows.put(spec.id(), workflow);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
@@ -14,6 +14,8 @@
  * @param endedOccurrences numbers of the occurrences whose steps are all done
  * @param steps steps with at least one started task
  * @param reason reason of a terminal state, or empty
+ * @param begun whether a worker is known to have begun a run; written with the next change of the
+ *     workflow only, and false in rows of an earlier release
  * @since 0.2
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -22,7 +24,8 @@
         WorkflowState state,
         List<Integer> endedOccurrences,
         List<StepRow> steps,
-        String reason) {
+        String reason,
+        boolean begun) {
     /** Length up to which a reason is stored. */
     private static final int MAX_REASON_LENGTH = 2_000;
 
@@ -31,6 +34,21 @@
         reason = Objects.requireNonNullElse(reason, "");
     }
 
+    /** Creates the row of a workflow of which no run is known to have begun. */
+    public WorkflowRow(
+            String queue,
+            WorkflowState state,
+            List<Integer> endedOccurrences,
+            List<StepRow> steps,
+            String reason) {
+        this(queue, state, endedOccurrences, steps, reason, false);
+    }
+
+    /** Returns whether a worker has certainly begun a run. */
+    boolean hasBegun() {
+        return begun || !endedOccurrences.isEmpty() || steps.stream().anyMatch(StepRow::hasBegun);
+    }
+
     /**
      * State of a step.
      *
@@ -62,6 +80,13 @@
                 int lastFailedRun) {
             this(occurrence, step, gangFailures, checkpoint, tasks, lastFailedRun, 0);
         }
+
+        private boolean hasBegun() {
+            return doneBelow > 0
+                    || gangFailures > 0
+                    || !checkpoint.isEmpty()
+                    || tasks.stream().anyMatch(TaskRow::hasBegun);
+        }
     }
 
     /**
@@ -117,6 +142,10 @@
                     && incarnationMillis == task.incarnationMillis();
         }
 
+        private boolean hasBegun() {
+            return done || failures > 0 || !checkpoint.isEmpty() || !provedCrashes.isEmpty();
+        }
+
         /** Returns this task with another checkpoint. */
         TaskRow withCheckpoint(String other) {
             return new TaskRow(
@@ -140,7 +169,8 @@
                 workflow.mState,
                 List.of(),
                 List.of(),
-                storedReason(workflow));
+                storedReason(workflow),
+                workflow.mBegun);
     }
 
     private static String storedReason(Workflow workflow) {
@@ -170,7 +200,8 @@
                 workflow.mState,
                 new ArrayList<>(workflow.mEndedOccurrences),
                 steps,
-                storedReason(workflow));
+                storedReason(workflow),
+                workflow.mBegun);
     }
 
     private static StepRow rowOf(Step step, List<TaskRow> tasks) {
