--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/TableFollower.java
@@ -61,6 +61,9 @@
         /** A row was read or has changed; its value is null if it was deleted. */
         void onRow(PartitionTable.Entry entry);
 
+        /** The store has answered; more changes may follow. */
+        default void onAnswered() {}
+
         /**
          * All changes up to a version have been read.
          *
@@ -140,6 +143,7 @@
         mListener.onReset();
         result.entries().forEach(mListener::onRow);
         handleReadSuccess(result.version());
+        mListener.onAnswered();
         mListener.onSynced(result.version(), result.storeMillis());
         return result.version();
     }
@@ -160,6 +164,7 @@
         page.entries().stream()
                 .filter(row -> mSubscription.partitions().contains(row.key().partition()))
                 .forEach(mListener::onRow);
+        mListener.onAnswered();
         if (isWhole(page)) {
             mListener.onSynced(page.version(), page.storeMillis());
         }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
@@ -150,8 +150,12 @@
         }
 
         @Override
-        public void onSynced(long version, long storeMillis) {
+        public void onAnswered() {
             mLastAnswerMillis = mClock.millis();
+        }
+
+        @Override
+        public void onSynced(long version, long storeMillis) {
             mStoreClock.recordReading(storeMillis);
             mCounts.onSynced();
             mOwnerListener.onSynced(storeMillis);
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/TableFollowerTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/TableFollowerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.vavr.control.Either;
+import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -114,6 +115,39 @@
         assertEquals(List.of("", ""), partitions);
     }
 
+    // Guards against a time up to which all changes seem to be read: an answer that is full lacks
+    // those after it.
+    @Test
+    void fullAnswerIsNotTakenForAllChanges() throws InterruptedException {
+        CountDownLatch answered = new CountDownLatch(2);
+        List<Long> synced = new CopyOnWriteArrayList<>();
+        TableFollower.Listener listener =
+                new TableFollower.Listener() {
+                    @Override
+                    public void onRow(PartitionTable.Entry entry) {}
+
+                    @Override
+                    public void onAnswered() {
+                        answered.countDown();
+                    }
+
+                    @Override
+                    public void onSynced(long version, long storeMillis) {
+                        synced.add(version);
+                    }
+                };
+        String[] full = Collections.nCopies(500, "").toArray(new String[0]);
+        TableFollower follower =
+                new TableFollower(
+                        new SingleRowTable(0, full),
+                        new TableFollower.Subscription("table", List.of(""), 1_000, 0),
+                        listener);
+        follower.start();
+        assertTrue(answered.await(20, TimeUnit.SECONDS), "both answers are read");
+        follower.stop();
+        assertEquals(List.of(1L), synced);
+    }
+
     private static final class SingleRowTable implements PartitionTable {
         private final List<String> mChangedPartitions;
         private final AtomicBoolean mChangesRead = new AtomicBoolean();
