--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/log/LogEvent.java
@@ -79,15 +79,31 @@
     EARLY_CANCELS_DELETED(
             5016, Level.INFO, "early cancellations deleted", "partition", "rows", "outcome"),
     /** A caller has asked for the number of waiting workflows of a queue. */
-    QUEUE_COUNTED(5017, Level.INFO, "queue counted", "queue", "waiting", "ageMillis", "epoch"),
+    QUEUE_COUNTED(
+            5017,
+            Level.INFO,
+            "queue counted",
+            "queue",
+            "waiting",
+            "ageMillis",
+            "epoch",
+            "readAgeMillis"),
     /** The owner publishes changed numbers of waiting workflows. */
-    LOAD_PUBLISHED(5018, Level.INFO, "load published", "epoch", "waiting", "acceptedAgeMillis"),
+    LOAD_PUBLISHED(
+            5018,
+            Level.INFO,
+            "load published",
+            "epoch",
+            "waiting",
+            "acceptedAgeMillis",
+            "unsettled"),
     /** This daemon acquired the ownership of the pools. */
     POOLS_OWNED(5101, Level.INFO, "owns pools", "epoch", "former", "reason"),
     /** This daemon released or lost the ownership of the pools. */
     POOLS_LOST(5102, Level.INFO, "no longer owns pools", "epoch", "reason"),
     /** The state of the pools is recovered and placement begins. */
-    POOLS_OPENED(5103, Level.INFO, "pools open", "epoch", "workflows", "millis"),
+    POOLS_OPENED(
+            5103, Level.INFO, "pools open", "epoch", "workflows", "millis", "waiting", "unsettled"),
     /** The owner row of the pools names a new owner or epoch. */
     POOL_OWNER_OBSERVED(5104, Level.INFO, "new pool owner observed", "owner", "epoch"),
     /** A commit of the owner failed and is retried. */
@@ -112,7 +128,8 @@
             "approvalMillis",
             "commits",
             "commitMillis",
-            "starts"),
+            "starts",
+            "acceptedAgeMillis"),
     /** The owner gives the pools up because their state could not be read in time. */
     POOLS_NOT_OPENED(5109, Level.WARNING, "pools not open in time", "epoch", "millis", "times"),
     /** The store refuses the owner's commits, and the owner asks other daemons to take over. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/metrics/WorkflowMeters.java
@@ -62,22 +62,32 @@
         timer("hyssop.approvals", "outcome", outcome).record(Duration.ofMillis(millis));
     }
 
+    /** Counts a call for a number of waiting workflows by its outcome. */
+    public void countQueueCountCall(String outcome) {
+        counter("hyssop.queue.counts", "outcome", outcome).increment();
+    }
+
     /**
-     * Records a number of waiting workflows that a caller has asked for.
+     * Records the age of a number of waiting workflows that a caller has asked for.
      *
      * @param answered whether it was recent enough to be answered
      * @param ageMillis age in milliseconds
      */
-    public void recordQueueCount(boolean answered, long ageMillis) {
+    public void recordQueueCountAge(boolean answered, long ageMillis) {
         timer("hyssop.queue.count.age", "answered", Boolean.toString(answered))
                 .record(Duration.ofMillis(ageMillis));
     }
 
-    /** Records the age of what the owner of the pools has read of the accepted workflows. */
+    /** Records the highest age of an interval of what the owner has read of the workflows. */
     public void recordAcceptedAge(long ageMillis) {
         timer("hyssop.owner.accepted.age").record(Duration.ofMillis(ageMillis));
     }
 
+    /** Counts a commit of the owner without the numbers of waiting workflows, by the reason. */
+    public void countHeldLoad(String reason) {
+        counter("hyssop.owner.load.held", "reason", reason).increment();
+    }
+
     /** Counts a transaction that was sent a second time because no answer arrived. */
     public void recordHedgedCommit() {
         counter("hyssop.commits.hedged").increment();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -345,13 +345,15 @@
     public Option<Integer> pending(String queue) {
         Option<QueueCount> count = mStates.countOf(queue);
         Option<QueueCount> answered = count.filter(QueueCount::isRecent);
-        count.forEach(it -> mMeters.recordQueueCount(answered.isDefined(), it.ageMillis()));
+        mMeters.countQueueCountCall(QueueCount.outcomeOf(count).name());
+        count.forEach(it -> mMeters.recordQueueCountAge(answered.isDefined(), it.ageMillis()));
         LOG.log(
                 LogEvent.QUEUE_COUNTED,
                 queue,
                 answered.map(QueueCount::waiting).getOrElse(UNKNOWN),
                 count.map(QueueCount::ageMillis).getOrElse((long) UNKNOWN),
-                count.map(QueueCount::epoch).getOrElse(0L));
+                count.map(QueueCount::epoch).getOrElse(0L),
+                mStates.answerAgeMillis());
         return answered.map(QueueCount::waiting);
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerCommitter.java
@@ -225,10 +225,15 @@
     }
 
     private CommitGroup nextGroup() {
+        mChanges.loadHold().forEach(mLoadMonitor::recordHeldLoad);
         PendingChanges.Group changes = mChanges.next();
         LoadRows.Due load = changes.load();
         if (!load.rows().isEmpty()) {
-            mLoadMonitor.recordPublication(epoch(), load.waiting(), mChanges.acceptedAgeMillis());
+            mLoadMonitor.recordPublication(
+                    epoch(),
+                    load.waiting(),
+                    mChanges.acceptedAgeMillis(),
+                    mChanges.unsettledCount());
         }
         boolean releases = mReleasing && mChanges.isEmpty();
         return newGroup(changes, releases ? mRow.releasingCommit() : mRow.nextCommit());
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerLoadMonitor.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/OwnerLoadMonitor.java
@@ -31,6 +31,7 @@
     private long mApprovalNanos;
     private int mCommitCount;
     private long mMaxCommitMillis;
+    private long mMaxAcceptedAgeMillis;
 
     OwnerLoadMonitor(MonotonicClock clock, WorkflowMeters meters) {
         mClock = clock;
@@ -86,10 +87,20 @@
      *
      * @param waiting number of waiting workflows of all queues
      * @param acceptedAgeMillis age of what is known of the accepted workflows, in milliseconds
+     * @param unsettledCount number of those waiting that may have begun under a former owner
      */
-    void recordPublication(long epoch, int waiting, long acceptedAgeMillis) {
-        mMeters.recordAcceptedAge(acceptedAgeMillis);
-        LOG.log(LogEvent.LOAD_PUBLISHED, epoch, waiting, acceptedAgeMillis);
+    void recordPublication(long epoch, int waiting, long acceptedAgeMillis, int unsettledCount) {
+        LOG.log(LogEvent.LOAD_PUBLISHED, epoch, waiting, acceptedAgeMillis, unsettledCount);
+    }
+
+    /** Records a commit without the numbers of waiting workflows. */
+    void recordHeldLoad(PendingChanges.LoadHold hold) {
+        mMeters.countHeldLoad(hold.name());
+    }
+
+    /** Records the age of what is known of the accepted workflows, in milliseconds. */
+    void recordAcceptedAge(long millis) {
+        mMaxAcceptedAgeMillis = Math.max(mMaxAcceptedAgeMillis, millis);
     }
 
     /** Records the number of changed workflows that no commit includes yet. */
@@ -117,6 +128,7 @@
             return;
         }
         long nowMillis = mClock.millis();
+        mMeters.recordAcceptedAge(mMaxAcceptedAgeMillis);
         LOG.log(
                 LogEvent.OWNER_LOAD,
                 epoch,
@@ -130,7 +142,8 @@
                 mApprovalNanos / NANOS_PER_MILLI,
                 mCommitCount,
                 mMaxCommitMillis,
-                mOutcomes);
+                mOutcomes,
+                mMaxAcceptedAgeMillis);
         mIntervalStartMillis = nowMillis;
         mMaxQueueDelayMillis = 0;
         mMaxStartDelayMillis = 0;
@@ -141,6 +154,7 @@
         mApprovalNanos = 0;
         mCommitCount = 0;
         mMaxCommitMillis = 0;
+        mMaxAcceptedAgeMillis = 0;
         mOutcomes.clear();
     }
 }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.daemon.workflow;
 
+import io.vavr.control.Option;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -72,6 +73,16 @@
         }
     }
 
+    /** Why a commit does not carry the load. */
+    enum LoadHold {
+        /** Not all accepted workflows have been read. */
+        UNOPENED,
+        /** Rows that the store refuses are searched for. */
+        REFUSED_ROWS,
+        /** Workers may soon tell which workflows have begun under a former owner. */
+        UNSETTLED
+    }
+
     PendingChanges(PoolScheduler scheduler, MonotonicClock clock, int maxRowBytes) {
         mScheduler = scheduler;
         mClock = clock;
@@ -164,18 +175,29 @@
         return new Group(batch, included, starts, mEnds.take(included), load);
     }
 
-    /** Returns whether workers will soon tell which workflows have begun under a former owner. */
-    private boolean isSettling() {
-        return mClock.millis() - mOpenedMillis < SETTLE_MILLIS
-                && mScheduler.queued().unsettledCount() > 0;
+    /** Returns the number of workflows counted as waiting that may have begun. */
+    int unsettledCount() {
+        return mScheduler.queued().unsettledCount();
     }
 
-    private LoadRows.Due dueLoad() {
+    /** Returns why the next commit does not carry the load; none if it may. */
+    Option<LoadHold> loadHold() {
+        if (!mOpen) {
+            return Option.some(LoadHold.UNOPENED);
+        }
         // While refused rows are searched for, those of the load must not be taken for them.
-        if (!mOpen || mRefused.isSearching() || isSettling()) {
-            return LoadRows.Due.NOTHING;
+        if (mRefused.isSearching()) {
+            return Option.some(LoadHold.REFUSED_ROWS);
         }
-        return mLoad.due(mScheduler.queued().counts(), mWorkflowsReadMillis, mClock.millis());
+        boolean isSettling =
+                mClock.millis() - mOpenedMillis < SETTLE_MILLIS && unsettledCount() > 0;
+        return Option.when(isSettling, LoadHold.UNSETTLED);
+    }
+
+    private LoadRows.Due dueLoad() {
+        return loadHold().isDefined()
+                ? LoadRows.Due.NOTHING
+                : mLoad.due(mScheduler.queued().counts(), mWorkflowsReadMillis, mClock.millis());
     }
 
     /** Records that a group is durable. */
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PoolOwner.java
@@ -261,6 +261,7 @@
 
     private void measureLoad() {
         mLoadMonitor.recordUncommittedWorkflows(mCommitter.uncommittedWorkflowCount());
+        mLoadMonitor.recordAcceptedAge(mCommitter.changes().acceptedAgeMillis());
         if (mLoadMonitor.isLogDue()) {
             mLoadMonitor.recordOverload(mScheduler.output().takeOverloadCounts());
         }
@@ -329,7 +330,13 @@
         mCommitter.changes().openLoad();
         mOpeningGuard.onOpened();
         long millis = mClock.millis() - mScheduler.ownershipStartMillis();
-        LOG.log(LogEvent.POOLS_OPENED, mCommitter.epoch(), mScheduler.workflowCount(), millis);
+        LOG.log(
+                LogEvent.POOLS_OPENED,
+                mCommitter.epoch(),
+                mScheduler.workflowCount(),
+                millis,
+                mScheduler.queued().counts().values().stream().mapToInt(it -> it).sum(),
+                mScheduler.queued().unsettledCount());
         mWorkerPoller.start();
         scheduleRound();
     }
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
@@ -98,6 +98,12 @@
         return mLastAnswerMillis;
     }
 
+    /** Returns the time since the store last answered, in milliseconds, or -1. */
+    long answerAgeMillis() {
+        long answerMillis = mLastAnswerMillis;
+        return answerMillis < 0 ? -1 : mClock.millis() - answerMillis;
+    }
+
     /** Records a durable state; a final state is never replaced. */
     void recordState(String id, WorkflowStatus status) {
         mStates.merge(
