--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
@@ -9,6 +9,7 @@
 import org.hyssoprouter.daemon.log.EventLogger;
 import org.hyssoprouter.daemon.log.LogEvent;
 import org.hyssoprouter.errors.TableError;
+import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.transport.PartitionTable;
 import org.hyssoprouter.util.MessageCodec;
 import org.hyssoprouter.util.MonotonicClock;
@@ -104,12 +105,17 @@
         return answerMillis < 0 ? -1 : mClock.millis() - answerMillis;
     }
 
-    /** Records a durable state; a final state is never replaced. */
+    /**
+     * Records a durable state. The answers of the store may arrive in another order than they were
+     * given, so that an earlier state never replaces a later one.
+     */
     void recordState(String id, WorkflowStatus status) {
-        mStates.merge(
-                id,
-                share(status),
-                (current, update) -> current.state().isFinal() ? current : update);
+        mStates.merge(id, share(status), WorkflowStateCache::later);
+    }
+
+    private static WorkflowStatus later(WorkflowStatus current, WorkflowStatus update) {
+        boolean older = update.state() == WorkflowState.PENDING;
+        return current.state().isFinal() || older ? current : update;
     }
 
     private WorkflowStatus share(WorkflowStatus status) {
@@ -148,7 +154,7 @@
                 } else if (value == null) {
                     mStates.remove(key);
                 } else {
-                    mStates.put(key, share(Schema.decodeState(value)));
+                    recordState(key, Schema.decodeState(value));
                 }
             } catch (IOException | IllegalArgumentException e) {
                 LOG.log(LogEvent.ROW_UNREADABLE, key, e.getMessage());
