--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ForwardingWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/ForwardingWorkflowService.java
@@ -200,6 +200,9 @@
         if (call.kind() == WorkflowCall.Kind.CANCEL) {
             return mLocal.cancel(call.id(), call.workspace()).thenApply(WorkflowReply::of);
         }
+        if (!mStoreAvailable.getAsBoolean() && !mLocal.isFinished(call.id())) {
+            return CompletableFuture.completedFuture(WorkflowReply.of(StateResult.unknown()));
+        }
         return mLocal.state(call.id(), call.workspace()).thenApply(WorkflowReply::of);
     }
 
@@ -220,7 +223,7 @@
         return callPeer(call, peers.get(0), PEER_TIMEOUT_MILLIS)
                 .thenCompose(
                         reply ->
-                                isFinal(reply)
+                                isFinal(reply) && !isUnknownState(call, reply)
                                         ? CompletableFuture.completedFuture(reply)
                                         : forward(call, peers.subList(1, peers.size())));
     }
@@ -251,6 +254,12 @@
         return reply.isRight() || reply.getLeft().verdict() != Verdict.NOT_RUN;
     }
 
+    /** Returns whether a peer that cannot read the store either was asked for a state. */
+    private static boolean isUnknownState(
+            WorkflowCall call, Either<CallError, WorkflowReply> reply) {
+        return call.kind() == WorkflowCall.Kind.STATE && reply.exists(it -> !it.known());
+    }
+
     private static Either<CallError, WorkflowReply> decode(byte[] bytes) {
         try {
             return Either.right(MessageCodec.decode(bytes, WorkflowReply.class));
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StateOfOldCopyTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StateOfOldCopyTest.java
@@ -3,14 +3,22 @@
 import static org.awaitility.Awaitility.await;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.vavr.control.Either;
 import io.vavr.control.Option;
 import java.nio.charset.StandardCharsets;
 import java.time.Clock;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
+import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.transport.PartitionTable;
+import org.hyssoprouter.transport.PeerTransport;
 import org.junit.jupiter.api.Test;
 
 /** States that callers see while a daemon's copy of the states is old or was never read. */
@@ -19,6 +27,7 @@
 
     private final SteppedExecutor mThread = new SteppedExecutor();
     private final LimitedTable mTable = new LimitedTable();
+    private final Map<String, ForwardingWorkflowService> mDaemons = new HashMap<>();
 
     private WorkflowStateCache newCache(PartitionTable table) {
         return new WorkflowStateCache(
@@ -91,4 +100,61 @@
         states.stop();
         assertEquals(Option.some(status(WorkflowState.COMPLETE)), states.statusOf(ID));
     }
+
+    // The store rejects two of three daemons; the third one knows the state.
+    @Test
+    void peerWithOldCopyDoesNotAnswerForOthers() {
+        PartitionTable unanswered = new UnansweredTable();
+        ForwardingWorkflowService entry = startDaemon("entry", unanswered, WorkflowState.ACTIVE);
+        startDaemon("cut", unanswered, WorkflowState.ACTIVE);
+        startDaemon("fresh", mTable, WorkflowState.COMPLETE);
+        // The peers are called in random order.
+        for (int i = 0; i < 50; i++) {
+            CompletableFuture<StateResult> state = entry.state(ID, "");
+            mThread.advance(0);
+            assertEquals(StateResult.of(WorkflowState.COMPLETE), state.join(), "call " + i);
+        }
+    }
+
+    private ForwardingWorkflowService startDaemon(
+            String name, PartitionTable table, WorkflowState known) {
+        WorkflowStateCache states = newCache(table);
+        states.recordState(ID, status(known));
+        UnreachablePeers unreachable = new UnreachablePeers(mThread);
+        MemberRow self = member(name);
+        List<MemberRow> others =
+                List.of(member("entry"), member("cut"), member("fresh")).stream()
+                        .filter(it -> !it.equals(self))
+                        .toList();
+        ForwardingWorkflowService service =
+                new ForwardingWorkflowService(
+                        newService(table, states),
+                        new SubmissionGrouping(List::of, self, unreachable, mThread),
+                        () -> name.equals("fresh"),
+                        () -> others,
+                        unreachable,
+                        new Peers(),
+                        mThread);
+        mDaemons.put(name, service);
+        return service;
+    }
+
+    private static MemberRow member(String name) {
+        return new MemberRow(name, "run", name, 1);
+    }
+
+    /** Carries calls to the services of the other daemons. */
+    private final class Peers implements PeerTransport {
+        @Override
+        public CompletableFuture<Either<CallError, byte[]>> call(
+                String address,
+                int type,
+                TrafficClass trafficClass,
+                byte[] payload,
+                long timeoutMillis) {
+            return Objects.requireNonNull(mDaemons.get(address), address)
+                    .serve(payload)
+                    .thenApply(Either::right);
+        }
+    }
 }
