--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -198,9 +198,59 @@
     @Override
     public CompletableFuture<StateResult> state(String id, String workspace) {
         Option<WorkflowStatus> cached = mStates.statusOf(id);
-        return cached.isDefined()
-                ? CompletableFuture.completedFuture(toStateResult(id, cached.get(), workspace))
-                : readState(id, workspace);
+        boolean recent = mStates.isRecent();
+        if (cached.exists(it -> recent || it.state().isFinal())) {
+            return CompletableFuture.completedFuture(toStateResult(id, cached.get(), workspace));
+        }
+        CompletableFuture<StateResult> job =
+                cached.isDefined()
+                        ? CompletableFuture.completedFuture(StateResult.unknown())
+                        : readState(id, workspace);
+        return recent
+                ? job
+                : readPublishedState(id)
+                        .thenCombine(job, (read, found) -> confirm(id, read, found, workspace));
+    }
+
+    /** Reads the state that the owner has published; returns whether the store has answered. */
+    private CompletableFuture<Boolean> readPublishedState(String id) {
+        PartitionTable.Range range =
+                new PartitionTable.Range(Schema.STATES, Schema.POOLS_PARTITION, id, id + '\0', 1);
+        return mTable.read(range).thenApply(read -> recordPublishedState(id, read));
+    }
+
+    private boolean recordPublishedState(String id, Either<TableError, PartitionTable.Page> read) {
+        if (read.isLeft()) {
+            LOG.log(LogEvent.WORKFLOW_STATE_UNKNOWN, id, "unknown", read.getLeft().message());
+            return false;
+        }
+        try {
+            for (PartitionTable.Entry entry : read.get().entries()) {
+                byte[] value = entry.value();
+                if (value != null) {
+                    mStates.recordState(id, Schema.decodeState(value));
+                }
+            }
+            return true;
+        } catch (IllegalArgumentException e) {
+            LOG.log(LogEvent.ROW_UNREADABLE, id, e.getMessage());
+            return false;
+        }
+    }
+
+    /**
+     * Returns the state of a workflow after reads of its published state and its job.
+     *
+     * @param read whether the published state is in the cache if there is one
+     */
+    private StateResult confirm(String id, boolean read, StateResult job, String workspace) {
+        Option<WorkflowStatus> status = mStates.statusOf(id);
+        if (status.isEmpty()) {
+            return job;
+        }
+        StateResult result = toStateResult(id, status.get(), workspace);
+        boolean certain = read || result.state().forAll(WorkflowState::isFinal);
+        return certain ? result : StateResult.unknown();
     }
 
     private StateResult toStateResult(String id, WorkflowStatus status, String callerWorkspace) {
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowDaemon.java
@@ -49,9 +49,6 @@
     /** Time without an answer of the store after which callers should use another daemon. */
     private static final long SERVING_TIMEOUT_MILLIS = 2_500;
 
-    /** Time without an answer of the store after which calls are forwarded: two slow reads. */
-    private static final long FORWARD_TIMEOUT_MILLIS = 1_200;
-
     private final Ports mPorts;
     private final WorkflowSettings mSettings;
     private final SerialExecutor mThread = new SingleThreadExecutor("workflows");
@@ -145,7 +142,7 @@
                 new ForwardingWorkflowService(
                         local,
                         grouping,
-                        () -> storeAnsweredWithin(FORWARD_TIMEOUT_MILLIS),
+                        mStates::isRecent,
                         mMembers::others,
                         unreachable,
                         ports.peers(),
@@ -202,12 +199,7 @@
      * recently.
      */
     public boolean isServing() {
-        return storeAnsweredWithin(SERVING_TIMEOUT_MILLIS);
-    }
-
-    private boolean storeAnsweredWithin(long millis) {
-        long answeredMillis = mStates.lastAnswerMillis();
-        return answeredMillis >= 0 && mPorts.clock().millis() - answeredMillis < millis;
+        return mStates.hasAnswerWithin(SERVING_TIMEOUT_MILLIS);
     }
 
     @Override
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/WorkflowStateCache.java
@@ -25,6 +25,9 @@
     // Limits the rate of reads: the owner's row changes with every commit.
     private static final long READ_PAUSE_MILLIS = 150;
 
+    /** Time without an answer of the store after which the states are too old: two slow reads. */
+    private static final long MAX_AGE_MILLIS = 1_200;
+
     private final Map<String, WorkflowStatus> mStates = new ConcurrentHashMap<>();
 
     /** Shared instances, one for each state and workspace instead of one for each workflow. */
@@ -94,9 +97,15 @@
         return mStoreClock;
     }
 
-    /** Returns the steady time at which the store last answered, in milliseconds, or -1. */
-    long lastAnswerMillis() {
-        return mLastAnswerMillis;
+    /** Returns whether the store has answered within a time, in milliseconds. */
+    boolean hasAnswerWithin(long millis) {
+        long answeredMillis = mLastAnswerMillis;
+        return answeredMillis >= 0 && mClock.millis() - answeredMillis < millis;
+    }
+
+    /** Returns whether states that are not final can be told from memory. */
+    boolean isRecent() {
+        return hasAnswerWithin(MAX_AGE_MILLIS);
     }
 
     /** Returns the time since the store last answered, in milliseconds, or -1. */
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StateOfOldCopyTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StateOfOldCopyTest.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.hyssoprouter.daemon.metrics.WorkflowMeters;
 import org.hyssoprouter.errors.CallError;
+import org.hyssoprouter.errors.TableError;
 import org.hyssoprouter.lib.TrafficClass;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
@@ -101,6 +102,41 @@
         assertEquals(Option.some(status(WorkflowState.COMPLETE)), states.statusOf(ID));
     }
 
+    @Test
+    void stateThatWasNotReadLatelyIsReadFromStore() {
+        WorkflowStateCache states = newCache(mTable);
+        states.recordState(ID, status(WorkflowState.ACTIVE));
+        putState(WorkflowState.COMPLETE);
+        assertEquals(StateResult.of(WorkflowState.COMPLETE), stateAt(newService(mTable, states)));
+    }
+
+    // All daemons have restarted, and none has read the states yet.
+    @Test
+    void finishedWorkflowIsNotPendingBeforeStatesAreRead() {
+        mTable.put(Schema.JOBS, Schema.jobPartition(ID), ID, Schema.finishedRow(""));
+        putState(WorkflowState.COMPLETE);
+        LocalWorkflowService service = newService(mTable, newCache(mTable));
+        assertEquals(StateResult.of(WorkflowState.COMPLETE), stateAt(service));
+    }
+
+    @Test
+    void stateThatWasNotReadLatelyIsUnknownWhileStoreIsSilent() {
+        PartitionTable silent =
+                new UnansweredTable() {
+                    @Override
+                    public CompletableFuture<Either<TableError, Page>> read(Range range) {
+                        return CompletableFuture.completedFuture(
+                                Either.left(TableError.unavailable("timeout")));
+                    }
+                };
+        WorkflowStateCache states = newCache(silent);
+        LocalWorkflowService service = newService(silent, states);
+        states.recordState(ID, status(WorkflowState.ACTIVE));
+        assertEquals(StateResult.unknown(), stateAt(service));
+        states.recordState(ID, status(WorkflowState.COMPLETE));
+        assertEquals(StateResult.of(WorkflowState.COMPLETE), stateAt(service));
+    }
+
     // The store rejects two of three daemons; the third one knows the state.
     @Test
     void peerWithOldCopyDoesNotAnswerForOthers() {
