--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/ClusterRouter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/ClusterRouter.java
@@ -47,6 +47,9 @@
 
     @Override
     public CompletableFuture<Either<Refusal, List<ShardStatus>>> shards() {
+        if (mDirectory.shards().isEmpty()) {
+            return CompletableFuture.completedFuture(Either.left(OwnerReplies.cellUnread()));
+        }
         List<String> live = mDirectory.liveDaemons().stream().map(DaemonRow::name).toList();
         List<ShardStatus> shards =
                 mDirectory.shards().stream()
@@ -57,6 +60,10 @@
 
     @Override
     public CompletableFuture<Either<Refusal, List<HostStatus>>> hosts() {
+        Option<Refusal> refusal = unreadRefusal();
+        if (refusal.isDefined()) {
+            return CompletableFuture.completedFuture(Either.left(refusal.get()));
+        }
         List<CompletableFuture<Either<Refusal, List<HostStatus>>>> calls =
                 mDirectory.shards().stream().map(row -> fetchHosts(row.shard())).toList();
         return OwnerReplies.awaitAll(calls).thenApply(ClusterRouter::merge);
@@ -64,6 +71,10 @@
 
     @Override
     public CompletableFuture<Either<Refusal, HostStatus>> drain(String worker, boolean drained) {
+        Option<Refusal> refusal = unreadRefusal();
+        if (refusal.isDefined()) {
+            return CompletableFuture.completedFuture(Either.left(refusal.get()));
+        }
         Option<String> shard = shardOf(worker);
         if (shard.isEmpty()) {
             return CompletableFuture.completedFuture(Either.left(unknownWorker(worker)));
@@ -77,6 +88,13 @@
                                         : fetchHost(shard.get(), worker));
     }
 
+    private Option<Refusal> unreadRefusal() {
+        if (mDirectory.shards().isEmpty()) {
+            return Option.some(OwnerReplies.cellUnread());
+        }
+        return mHosts.revision() > 0 ? Option.none() : Option.some(OwnerReplies.hostsUnread());
+    }
+
     private CompletableFuture<Option<Refusal>> sendDrainOrder(DrainOrder order) {
         return mOwners.call(
                         order.shard(),
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/HomeShardSelector.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/HomeShardSelector.java
@@ -34,6 +34,11 @@
                 .toList();
     }
 
+    /** Returns whether the workers are known. */
+    boolean hasReadHosts() {
+        return mHosts.revision() > 0;
+    }
+
     /** Returns whether the region has any shard. */
     boolean hasShards(String region) {
         return mDirectory.shards().stream().anyMatch(row -> row.region().equals(region));
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobRouter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/JobRouter.java
@@ -121,6 +121,9 @@
 
     @Override
     public CompletableFuture<Either<Refusal, List<JobView>>> list(String customer) {
+        if (mDirectory.shards().isEmpty()) {
+            return CompletableFuture.completedFuture(Either.left(OwnerReplies.cellUnread()));
+        }
         List<CompletableFuture<Either<CallError, JobListReply>>> calls =
                 shards().map(shard -> listOnShard(shard, MAX_LISTED_JOBS)).toList();
         return OwnerReplies.awaitAll(calls).thenApply(replies -> merge(replies, customer));
@@ -179,6 +182,12 @@
             return Either.left(
                     Refusal.invalidField("customer", "no such customer: " + spec.customer()));
         }
+        if (mDirectory.shards().isEmpty()) {
+            return Either.left(OwnerReplies.cellUnread());
+        }
+        if (!mSelector.hasReadHosts()) {
+            return Either.left(OwnerReplies.hostsUnread());
+        }
         String region = spec.region() == null ? policy.get().homeRegion() : spec.region();
         if (!mSelector.hasShards(region)) {
             return Either.left(Refusal.invalidField("region", "no such region: " + region));
@@ -255,6 +264,9 @@
     }
 
     private CompletableFuture<Either<Refusal, JobView>> callAllShards(String job, ShardCall call) {
+        if (mDirectory.shards().isEmpty()) {
+            return CompletableFuture.completedFuture(Either.left(OwnerReplies.cellUnread()));
+        }
         List<CompletableFuture<Either<CallError, JobReply>>> calls =
                 shards().map(call::call).toList();
         return OwnerReplies.awaitAll(calls).thenApply(replies -> selectReply(job, replies));
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/OwnerReplies.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/OwnerReplies.java
@@ -19,6 +19,20 @@
                 .thenApply(done -> calls.stream().map(CompletableFuture::join).toList());
     }
 
+    /** Returns the refusal that an operator receives before this daemon has read the cell. */
+    static Refusal cellUnread() {
+        return notReady("this daemon has not read the cell yet");
+    }
+
+    /** Returns the refusal that an operator receives before this daemon knows the hosts. */
+    static Refusal hostsUnread() {
+        return notReady("this daemon has not read the host list yet");
+    }
+
+    private static Refusal notReady(String message) {
+        return Refusal.retryLater(RefusalCode.NOT_READY, message, RETRY_AFTER_MILLIS);
+    }
+
     /** Returns the refusal that an operator receives when a call to an owner fails. */
     static Refusal toRefusal(CallError error) {
         return new Refusal(
