--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -304,9 +304,13 @@
             return StateResult.absent();
         }
         byte[] value = read.get().entries().get(0).value();
+        if (value == null) {
+            LOG.log(LogEvent.WORKFLOW_STATE_UNKNOWN, id, "unknown", "row without a value");
+            return StateResult.unknown();
+        }
         try {
-            String workspace = value == null ? "" : Schema.workspaceOfJob(value);
-            WorkflowStatus status = new WorkflowStatus(WorkflowState.PENDING, workspace);
+            WorkflowStatus status =
+                    new WorkflowStatus(WorkflowState.PENDING, Schema.workspaceOfJob(value));
             mStates.recordState(id, status);
             return toStateResult(id, mStates.statusOf(id).getOrElse(status), callerWorkspace);
         } catch (IOException e) {
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
@@ -1,5 +1,6 @@
 package org.hyssoprouter.daemon.workflow;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -7,6 +8,7 @@
 import io.vavr.control.Option;
 import java.time.Clock;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -21,6 +23,7 @@
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.lib.workflow.WorkspacePolicy;
 import org.hyssoprouter.transport.PartitionTable;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 
 class LocalWorkflowServiceTest {
@@ -66,6 +69,31 @@
         }
     }
 
+    // Guards against a workflow that is shown though nobody submitted it: a row in the store's
+    // answer that has no value, or one of another writer.
+    @Test
+    void rowThatIsNoWorkflowIsNotShownAsOne() {
+        byte[][] values = {
+            null, {}, {(byte) 0xc0}, {(byte) 0x90}, {1, 2, 3}, "text".getBytes(UTF_8)
+        };
+        for (byte[] value : values) {
+            putRow(Schema.JOBS, Schema.jobPartition(ID), value);
+            assertEquals(StateResult.unknown(), stateOf(""), Arrays.toString(value));
+        }
+    }
+
+    private void putRow(String table, String partition, byte @Nullable [] value) {
+        PartitionTable.Key key = new PartitionTable.Key(table, partition, ID);
+        mTable.mEntries.put(key.toString(), new PartitionTable.Entry(key, 1, value));
+    }
+
+    /** Returns the answer of a daemon that has read no states. */
+    private StateResult stateOf(String workspace) {
+        CompletableFuture<StateResult> state = newService().state(ID, workspace);
+        mThread.advance(CALLER_TIMEOUT_MILLIS);
+        return state.join();
+    }
+
     @Test
     void workflowOfOtherWorkspaceIsNeitherSeenNorChanged() {
         LocalWorkflowService accepting = newService();
