--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -20,6 +20,7 @@
 import org.hyssoprouter.transport.PartitionTable;
 import org.hyssoprouter.util.MessageCodec;
 import org.hyssoprouter.util.MonotonicClock;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Serves callers from the table store: stores workflows and cancellations without involving the
@@ -214,9 +215,8 @@
 
     /** Reads the state that the owner has published; returns whether the store has answered. */
     private CompletableFuture<Boolean> readPublishedState(String id) {
-        PartitionTable.Range range =
-                new PartitionTable.Range(Schema.STATES, Schema.POOLS_PARTITION, id, id + '\0', 1);
-        return mTable.read(range).thenApply(read -> recordPublishedState(id, read));
+        return readRow(Schema.STATES, Schema.POOLS_PARTITION, id)
+                .thenApply(read -> recordPublishedState(id, read));
     }
 
     private boolean recordPublishedState(String id, Either<TableError, PartitionTable.Page> read) {
@@ -284,16 +284,34 @@
 
     private CompletableFuture<StateResult> readState(
             String id, String partition, String workspace) {
-        PartitionTable.Range range =
-                new PartitionTable.Range(Schema.JOBS, partition, id, id + '\0', 1);
-        return mTable.read(range).thenApply(read -> toStateResult(id, read, workspace));
+        return readRow(Schema.JOBS, partition, id)
+                .thenCompose(
+                        read ->
+                                read.exists(LocalWorkflowService::isMarkOfFinished)
+                                        ? readFinalState(id, workspace)
+                                        : CompletableFuture.completedFuture(
+                                                toStateResult(id, read, workspace)));
+    }
+
+    private CompletableFuture<Either<TableError, PartitionTable.Page>> readRow(
+            String table, String partition, String id) {
+        return mTable.read(new PartitionTable.Range(table, partition, id, id + '\0', 1));
+    }
+
+    private static boolean isMarkOfFinished(PartitionTable.Page page) {
+        byte[] value = valueOf(page);
+        return value != null && Schema.isFinished(value);
+    }
+
+    /** Returns the value of the only row of a page, or null if there is no row or no value. */
+    private static byte @Nullable [] valueOf(PartitionTable.Page page) {
+        return page.entries().isEmpty() ? null : page.entries().get(0).value();
     }
 
     private StateResult toStateResult(
             String id, Either<TableError, PartitionTable.Page> read, String callerWorkspace) {
         if (read.isLeft()) {
-            LOG.log(LogEvent.WORKFLOW_STATE_UNKNOWN, id, "unknown", read.getLeft().message());
-            return StateResult.unknown();
+            return logUnknown(id, read.getLeft().message());
         }
         if (read.get().entries().isEmpty()) {
             LOG.log(
@@ -303,10 +321,9 @@
                     "version " + read.get().version());
             return StateResult.absent();
         }
-        byte[] value = read.get().entries().get(0).value();
+        byte[] value = valueOf(read.get());
         if (value == null) {
-            LOG.log(LogEvent.WORKFLOW_STATE_UNKNOWN, id, "unknown", "row without a value");
-            return StateResult.unknown();
+            return logUnknown(id, "row without a value");
         }
         try {
             WorkflowStatus status =
@@ -319,6 +336,22 @@
         }
     }
 
+    private static StateResult logUnknown(String id, String reason) {
+        LOG.log(LogEvent.WORKFLOW_STATE_UNKNOWN, id, "unknown", reason);
+        return StateResult.unknown();
+    }
+
+    /** Reads the state of a workflow whose row in the jobs table says only that it has finished. */
+    private CompletableFuture<StateResult> readFinalState(String id, String workspace) {
+        return readPublishedState(id)
+                .thenApply(
+                        read ->
+                                mStates.statusOf(id)
+                                        .filter(it -> it.state().isFinal())
+                                        .map(it -> toStateResult(id, it, workspace))
+                                        .getOrElse(() -> logUnknown(id, "finished, no state")));
+    }
+
     @Override
     public CompletableFuture<CancelResult> cancel(String id, String workspace) {
         return state(id, workspace).thenCompose(read -> cancel(id, workspace, read));
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LocalWorkflowServiceTest.java
@@ -69,6 +69,27 @@
         }
     }
 
+    // Guards against a finished workflow that is shown as pending by a daemon that knows no states
+    // yet: its row says only that it has finished.
+    @Test
+    void finishedWorkflowIsNotShownAsPendingBeforeTheStatesAreRead() {
+        putRow(Schema.JOBS, Schema.jobPartition(ID), Schema.finishedRow("a"));
+        assertEquals(StateResult.unknown(), stateOf("a"));
+        putRow(Schema.STATES, Schema.POOLS_PARTITION, new byte[] {'?'});
+        assertEquals(StateResult.unknown(), stateOf("a"));
+        for (WorkflowState state :
+                List.of(WorkflowState.COMPLETE, WorkflowState.FAILED, WorkflowState.CANCELLED)) {
+            putRow(
+                    Schema.STATES,
+                    Schema.POOLS_PARTITION,
+                    Schema.encodeState(new WorkflowStatus(state, "a")));
+            assertEquals(StateResult.of(state), stateOf("a"));
+            assertEquals(StateResult.absent(), stateOf("b"));
+        }
+        mTable.mSilentPartitions = List.of(Schema.POOLS_PARTITION);
+        assertEquals(StateResult.unknown(), stateOf("a"));
+    }
+
     // Guards against a workflow that is shown though nobody submitted it: a row in the store's
     // answer that has no value, or one of another writer.
     @Test
