--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedPool.java
@@ -29,7 +29,8 @@
 /**
  * Simulates a pool in virtual time: workers that run tasks, an approval service and a table of
  * durable rows, driven by a {@link PoolScheduler}. Records a violation if a start exceeds the
- * capacity of a worker, if a task has two active runs, or if a completed task starts again.
+ * capacity of a worker, if a task has two active runs, if a completed task starts again, or if a
+ * workflow is stored as complete before its tasks have ended so.
  */
 final class SimulatedPool {
     static final String POOL = "pool";
@@ -385,6 +386,7 @@
                 (id, row) -> {
                     if (row.state() == WorkflowState.COMPLETE) {
                         mTimes.recordCompletion(id, mNowMillis);
+                        mViolations.addAll(mTasks.findUnended(mSpecs, id));
                     }
                 });
         for (TaskStart start : starts) {
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedTasks.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedTasks.java
@@ -1,12 +1,18 @@
 package org.hyssoprouter.internal.workflow;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
 import java.util.function.ToDoubleFunction;
 import org.hyssoprouter.lib.workflow.StepKey;
 import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.TaskKey;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
 
 /** True durations of simulated tasks, and the work of interrupted runs. */
 final class SimulatedTasks {
@@ -15,6 +21,7 @@
     private final Map<StepKey, Long> mTaskMillis = new HashMap<>();
     private final Map<TaskKey, Long> mSavedMillis = new HashMap<>();
     private final Map<String, Map<String, Double>> mInterference = new HashMap<>();
+    private final Set<TaskKey> mEndedDone = new HashSet<>();
     private ToDoubleFunction<TaskKey> mTaskFactor = task -> 1;
     private long mStopMillis = 100;
     private long mRestoreMillis;
@@ -22,6 +29,31 @@
     private long mWastedCoreMillis;
     private int mInterruptionCount;
 
+    /** Records that a run of a task has ended done, even if nobody learns of it. */
+    void recordDone(TaskKey task) {
+        mEndedDone.add(task);
+    }
+
+    /**
+     * Returns a violation for each task of a workflow, shown as complete, that has not ended so.
+     */
+    List<String> findUnended(Map<String, WorkflowSpec> specs, String workflow) {
+        WorkflowSpec spec = Objects.requireNonNull(specs.get(workflow));
+        List<String> violations = new ArrayList<>();
+        for (int occurrence = 0; occurrence < spec.occurrenceCount(); occurrence++) {
+            for (int step = 0; step < spec.steps().size(); step++) {
+                StepKey key = new StepKey(spec.id(), occurrence, step);
+                for (int index = 0; index < spec.steps().get(step).taskCount(); index++) {
+                    TaskKey task = new TaskKey(key, index);
+                    if (!mEndedDone.contains(task)) {
+                        violations.add("shown as complete before the end of " + task);
+                    }
+                }
+            }
+        }
+        return violations;
+    }
+
     /** Sets the true duration of the tasks of a step, which differs from its estimate. */
     void setTaskMillis(StepKey step, long millis) {
         mTaskMillis.put(step, millis);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedWorker.java
@@ -318,6 +318,7 @@
             return;
         }
         mPool.doneTasks().add(run.order().task());
+        mPool.tasks().recordDone(run.order().task());
         endRun(run, EndKind.DONE);
     }
 
@@ -352,6 +353,7 @@
             for (SimulatedRun member : new ArrayList<>(worker.mRuns.values())) {
                 if (member.order().task().step().equals(run.order().task().step())) {
                     mPool.doneTasks().add(member.order().task());
+                    mPool.tasks().recordDone(member.order().task());
                     worker.endRun(member, EndKind.DONE);
                 }
             }
