--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/ClusterRouter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/cell/ClusterRouter.java
@@ -60,9 +60,9 @@
 
     @Override
     public CompletableFuture<Either<Refusal, List<HostStatus>>> hosts() {
-        Option<Refusal> refusal = unreadRefusal();
-        if (refusal.isDefined()) {
-            return CompletableFuture.completedFuture(Either.left(refusal.get()));
+        Option<Refusal> unread = unreadRefusal();
+        if (unread.isDefined()) {
+            return CompletableFuture.completedFuture(Either.left(unread.get()));
         }
         List<CompletableFuture<Either<Refusal, List<HostStatus>>>> calls =
                 mDirectory.shards().stream().map(row -> fetchHosts(row.shard())).toList();
@@ -71,9 +71,9 @@
 
     @Override
     public CompletableFuture<Either<Refusal, HostStatus>> drain(String worker, boolean drained) {
-        Option<Refusal> refusal = unreadRefusal();
-        if (refusal.isDefined()) {
-            return CompletableFuture.completedFuture(Either.left(refusal.get()));
+        Option<Refusal> unread = unreadRefusal();
+        if (unread.isDefined()) {
+            return CompletableFuture.completedFuture(Either.left(unread.get()));
         }
         Option<String> shard = shardOf(worker);
         if (shard.isEmpty()) {
