--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/LocalWorkflowService.java
@@ -354,7 +354,10 @@
 
     @Override
     public CompletableFuture<CancelResult> cancel(String id, String workspace) {
-        return state(id, workspace).thenCompose(read -> cancel(id, workspace, read));
+        // The workspace of a known workflow does not change, so its state need not be read again.
+        return mStates.statusOf(id).isDefined()
+                ? cancel(id, workspace, StateResult.unknown())
+                : state(id, workspace).thenCompose(read -> cancel(id, workspace, read));
     }
 
     private CompletableFuture<CancelResult> cancel(String id, String workspace, StateResult read) {
