--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/PendingChanges.java
@@ -186,7 +186,7 @@
             return Option.some(LoadHold.UNOPENED);
         }
         // While refused rows are searched for, those of the load must not be taken for them.
-        if (mRefused.isSearching()) {
+        if (mRefused.isSearching() && !isEmpty()) {
             return Option.some(LoadHold.REFUSED_ROWS);
         }
         boolean isSettling =
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadPublicationTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LoadPublicationTest.java
@@ -77,6 +77,29 @@
         assertTrue(hasLoad(commit()), "a silent worker does not hold the counts back for long");
     }
 
+    // Guards against counts that stay unknown on a quiet day, as only further workflows end the
+    // search for rows that the store refuses.
+    @Test
+    void countGoesOnWhileNoWorkflowIsLeftToSearchForRefusedRows() {
+        assertEquals(1, mFixture.placeTask().run());
+        mChanges.recordWorkflowsRead(70_000);
+        mChanges.openLoad();
+        mChanges.collect();
+        long countedMillis = 0;
+        for (long readMillis = 70_000; readMillis <= 80_000; readMillis += 500) {
+            mThread.advance(LoadRows.INTERVAL_MILLIS);
+            mChanges.recordWorkflowsRead(readMillis);
+            PendingChanges.Group group = mChanges.next();
+            if (group.included().workflows().isEmpty()) {
+                mChanges.recordDurable(group);
+                countedMillis = Math.max(countedMillis, group.load().countedMillis());
+            } else {
+                mChanges.restoreRefused(group, true);
+            }
+        }
+        assertTrue(countedMillis >= 79_000, "counted up to " + countedMillis);
+    }
+
     private void add(String id) {
         mFixture.submit(id);
     }
