--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/StoreClock.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/StoreClock.java
@@ -11,9 +11,17 @@
     /** Time before the first answer of the store. */
     static final long UNKNOWN = 0;
 
+    /** Time after which a reading is replaced by later ones, as the clocks may drift apart. */
+    private static final long WINDOW_MILLIS = 30_000;
+
     private final MonotonicClock mClock;
-    private long mStoreMillis = UNKNOWN;
-    private long mReadAtMillis;
+    private boolean mKnown;
+
+    /** Highest offset of the store's clock from the local one in this window and the former one. */
+    private long mOffsetMillis;
+
+    private long mFormerOffsetMillis;
+    private long mWindowStartMillis;
 
     StoreClock(MonotonicClock clock) {
         mClock = clock;
@@ -22,22 +30,33 @@
     /** Records the time in an answer of the store, in milliseconds. */
     synchronized void recordReading(long storeMillis) {
         long nowMillis = mClock.millis();
-        if (storeMillis > mStoreMillis + nowMillis - mReadAtMillis || mStoreMillis == UNKNOWN) {
-            mStoreMillis = storeMillis;
-            mReadAtMillis = nowMillis;
+        long offsetMillis = storeMillis - nowMillis;
+        if (!mKnown) {
+            mKnown = true;
+            mOffsetMillis = offsetMillis;
+            mFormerOffsetMillis = offsetMillis;
+            mWindowStartMillis = nowMillis;
+        } else if (nowMillis - mWindowStartMillis >= WINDOW_MILLIS) {
+            mFormerOffsetMillis = mOffsetMillis;
+            mOffsetMillis = offsetMillis;
+            mWindowStartMillis = nowMillis;
+        } else {
+            mOffsetMillis = Math.max(mOffsetMillis, offsetMillis);
         }
     }
 
+    private long offsetMillis() {
+        return Math.max(mOffsetMillis, mFormerOffsetMillis);
+    }
+
     /** Returns the time of the store in milliseconds, or {@link #UNKNOWN}. */
     synchronized long millis() {
-        return mStoreMillis == UNKNOWN ? UNKNOWN : mStoreMillis + mClock.millis() - mReadAtMillis;
+        return mKnown ? mClock.millis() + offsetMillis() : UNKNOWN;
     }
 
     /** Returns how the local clock relates to that of the store. */
     synchronized StoreOffset offset() {
-        return mStoreMillis == UNKNOWN
-                ? StoreOffset.UNKNOWN
-                : new StoreOffset(mStoreMillis - mReadAtMillis, true);
+        return mKnown ? new StoreOffset(offsetMillis(), true) : StoreOffset.UNKNOWN;
     }
 
     /**
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StoreClockTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StoreClockTest.java
@@ -1,6 +1,7 @@
 package org.hyssoprouter.daemon.workflow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import org.junit.jupiter.api.Test;
 
@@ -34,4 +35,16 @@
         mClock.recordReading(50_100);
         assertEquals(50_400, mClock.millis());
     }
+
+    // Guards against a time that runs ahead for ever where the local clock is the faster one.
+    @Test
+    void fasterLocalClockDoesNotAddUp() {
+        long storeMillis = 50_000;
+        for (int i = 0; i < 24 * 3_600; i++) {
+            mClock.recordReading(storeMillis);
+            storeMillis += 10_000;
+            mNowMillis += 10_001;
+        }
+        assertTrue(mClock.millis() - storeMillis < 100, "ahead of the store");
+    }
 }
