--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/StoreClock.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/StoreClock.java
@@ -29,6 +29,9 @@
 
     /** Records the time in an answer of the store, in milliseconds. */
     synchronized void recordReading(long storeMillis) {
+        if (storeMillis == UNKNOWN) {
+            return;
+        }
         long nowMillis = mClock.millis();
         long offsetMillis = storeMillis - nowMillis;
         if (!mKnown) {
