--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StateOfOldCopyTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/StateOfOldCopyTest.java
@@ -90,7 +90,7 @@
         assertEquals(Option.some(status(WorkflowState.ACTIVE)), states.statusOf(ID));
     }
 
-    // The owner's own daemon hears of an end from the commit, while a scan is under way.
+    // The owner's own daemon learns of an end from the commit, while a scan is under way.
     @Test
     void scanThatBeganBeforeTheEndDoesNotReopenWorkflow() {
         putState(WorkflowState.ACTIVE);
