--- a/review/standin-3/review3/Main.java
+++ b/review/standin-3/review3/Main.java
@@ -26,11 +26,11 @@
 
     private static final Map<String, Case> CASES =
             Map.of(
-                    "history", new HistoryCase(),
-                    "steps", new StepsCase(),
-                    "stall", new StallCase(),
+                    "steps", OddJobsCase.manySteps(),
+                    "schedule", OddJobsCase.lateSchedule(),
+                    "gangs", OddJobsCase.hugeGangs(),
                     "foreign", new ForeignCase(),
-                    "route", new RouteCase());
+                    "pipeline", new PipelineCase());
 
     /** Runs the case. */
     public static void main(String[] args) throws Exception {
