Open due occurrences of a schedule as they run

Cause: each tick opened all due occurrences, and each had objects for all of its steps. A histogram of the owner's heap during the case: 113,835 Step objects with as many StepApprovals, EnumMap, StepKey and TreeMap entries and 456,145 HashMaps, of 96 MB in all. The record of ended occurrences grew by an Integer and a tree node each, the row by a number each, and the tick and each end of a step went through all occurrences.

Change: an occurrence that is due costs a number until it is opened, and it is opened while few others wait for the same step: 128 a step of a schedule, 1,024 for all schedules together. An open occurrence holds the steps that wait or run only. One in which nothing waits or runs, as enough others wait for its next step, is suspended: a member of a set of ranges, by the steps that are done in it. Rows of divided workflows say all about a range of occurrences in one part, so that no takeover sees a step neither as done nor as its end. The same holds for a job without a schedule: of its steps those that wait or run are held, the done ones are bits.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/DividedWorkflow.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/DividedWorkflow.java
@@ -25,7 +25,9 @@
     /** Content of a row that could not be read; equal to no other. */
     private static final WorkflowPartRow UNREADABLE =
             new WorkflowPartRow(
-                    List.of(), List.of(new WorkflowPartRow.OccurrenceRange(Integer.MAX_VALUE, -1)));
+                    List.of(),
+                    List.of(new WorkflowRow.OccurrenceRange(Integer.MAX_VALUE, -1)),
+                    List.of());
 
     private final WorkflowParts mParts;
     private final Map<String, WorkflowPartRow> mDurable = new HashMap<>();
--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/FormerWorkflow.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/FormerWorkflow.java
@@ -21,7 +21,11 @@
     static FormerWorkflow of(WorkflowRow main, Map<String, @Nullable WorkflowPartRow> parts) {
         List<WorkflowPartRow> readable = new ArrayList<>();
         parts.values().stream().filter(Objects::nonNull).forEach(readable::add);
-        boolean isDivided = main.steps().isEmpty() && main.endedOccurrences().isEmpty();
+        boolean isDivided =
+                main.steps().isEmpty()
+                        && main.endedOccurrences().isEmpty()
+                        && main.ended().isEmpty()
+                        && main.doneSteps().isEmpty();
         return new FormerWorkflow(WorkflowParts.join(main, readable), isDivided, parts);
     }
 }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCompletionTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/EarlyCompletionTest.java
@@ -162,6 +162,12 @@
             }
         }
         row.endedOccurrences().forEach(it -> checkOccurrence(spec, it));
+        for (WorkflowRow.OccurrenceRange range : row.ended()) {
+            for (int i = range.first(); i <= range.last(); i++) {
+                checkOccurrence(spec, i);
+            }
+        }
+        row.doneSteps().forEach(it -> checkDoneSteps(spec, it));
         for (WorkflowRow.StepRow step : row.steps()) {
             StepKey key = new StepKey(spec.id(), step.occurrence(), step.step());
             checkFirst(key, step.doneBelow());
@@ -171,6 +177,17 @@
         }
     }
 
+    private void checkDoneSteps(WorkflowSpec spec, WorkflowRow.DoneSteps row) {
+        WorkflowRow.OccurrenceRange range = row.occurrences();
+        for (int i = range.first(); i <= range.last(); i++) {
+            for (int step = 0; step < spec.steps().size(); step++) {
+                if ((row.steps().get(0) >> step & 1) == 1) {
+                    checkFirst(new StepKey(spec.id(), i, step), spec.steps().get(step).taskCount());
+                }
+            }
+        }
+    }
+
     private void checkOccurrence(WorkflowSpec spec, int occurrence) {
         for (int i = 0; i < spec.steps().size(); i++) {
             checkFirst(new StepKey(spec.id(), occurrence, i), spec.steps().get(i).taskCount());
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowTest.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import org.hyssoprouter.internal.workflow.WorkflowRow;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
@@ -172,7 +173,7 @@
         commit();
         mTable.answerAll();
         FormerWorkflow former = Objects.requireNonNull(readRows().get(LARGE));
-        assertEquals(List.of(0), former.row().endedOccurrences());
+        assertEquals(List.of(new WorkflowRow.OccurrenceRange(0, 0)), former.row().ended());
         assertTrue(former.parts().size() > 1, "rows are left to delete");
         commit();
     }
--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOpeningLogTest.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/PoolOpeningLogTest.java
@@ -89,7 +89,15 @@
         }
 
         private static WorkflowRow activeRow(boolean begun) {
-            return new WorkflowRow("batch", WorkflowState.ACTIVE, List.of(), STEPS, "", begun);
+            return new WorkflowRow(
+                    "batch",
+                    WorkflowState.ACTIVE,
+                    List.of(),
+                    STEPS,
+                    "",
+                    begun,
+                    List.of(),
+                    List.of());
         }
 
         private static List<Entry> entries(Range range) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/LostRuns.java
@@ -169,7 +169,7 @@
             }
             case DONE -> {
                 if (!task.isStopOrdered() || task.isStopConfirmedBefore(sentMillis)) {
-                    task.releaseWorker(nowMillis);
+                    mState.releaseWorker(task, nowMillis);
                 }
             }
             default -> {}
--- /dev/null
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/OccurrenceOpener.java
@@ -0,0 +1,72 @@
+package org.hyssoprouter.internal.workflow;
+
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
+
+/**
+ * Opens due occurrences of a schedule while few others wait for the same steps. What is behind the
+ * schedule then costs a number, not steps and tasks, however late it is and whatever may run.
+ */
+final class OccurrenceOpener {
+    /** Number of steps of all schedules together that may wait for a run. */
+    private static final int MAX_QUEUED_STEPS = 1_024;
+
+    /** Number of occurrences of one schedule that may wait for a step. */
+    private static final int MAX_QUEUED_OCCURRENCES = 128;
+
+    private final PoolState mState;
+    private final Workflow mWorkflow;
+    private final long mNowMillis;
+
+    OccurrenceOpener(PoolState state, Workflow workflow, long nowMillis) {
+        mState = state;
+        mWorkflow = workflow;
+        mNowMillis = nowMillis;
+    }
+
+    /** Returns the number of occurrences of a schedule that may wait for one of its steps. */
+    static int maxQueued(int scheduleCount, int stepCount) {
+        long share = MAX_QUEUED_STEPS / Math.max(1, (long) scheduleCount * stepCount);
+        return (int) Math.max(1, Math.min(MAX_QUEUED_OCCURRENCES, share));
+    }
+
+    /** Opens occurrences: first those that have begun, then others in order. */
+    void open() {
+        Occurrences occurrences = mWorkflow.mOccurrences;
+        for (Occurrence occurrence : occurrences.takeDeferring()) {
+            int[] steps = occurrence.takeDeferred().stream().mapToInt(it -> it).toArray();
+            mState.queueReadySteps(occurrence, steps, mNowMillis);
+        }
+        for (Occurrences.Suspended group : occurrences.suspended()) {
+            while (!group.numbers().isEmpty() && mState.mayQueueAny(mWorkflow, group.ready())) {
+                Occurrence occurrence = occurrences.resume(group);
+                mState.queueReadySteps(occurrence, group.ready(), mNowMillis);
+            }
+        }
+        int[] roots = mWorkflow.roots();
+        while (mState.mayQueueAny(mWorkflow, roots)) {
+            Occurrence occurrence = occurrences.openNextDue();
+            if (occurrence == null) {
+                return;
+            }
+            mState.queueReadySteps(occurrence, roots, mNowMillis);
+        }
+    }
+
+    /**
+     * Returns the number of occurrences of a schedule whose time has come.
+     *
+     * @param epochMillis time of day, in milliseconds since 1970
+     */
+    static long dueCount(WorkflowSpec.Schedule schedule, long epochMillis) {
+        long firstMillis = schedule.firstDueMillis();
+        long lateMillis = epochMillis - firstMillis;
+        if (firstMillis > epochMillis) {
+            return 0;
+        }
+        // The difference of times that are far apart is negative.
+        if (schedule.intervalMillis() <= 0 || lateMillis < 0) {
+            return schedule.repeatCount();
+        }
+        return Math.min(schedule.repeatCount(), lateMillis / schedule.intervalMillis() + 1);
+    }
+}
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PeriodicChecks.java
@@ -1,9 +1,7 @@
 package org.hyssoprouter.internal.workflow;
 
-import org.hyssoprouter.lib.workflow.WorkflowSpec;
-
 /**
- * Performs the time-driven checks of the scheduler: opens due occurrences, requeues runs whose
+ * Performs the time-driven checks of the scheduler: notes due occurrences, requeues runs whose
  * lease has expired, drains workers, repeats unconfirmed stops, and stops stalled runs.
  */
 final class PeriodicChecks {
@@ -44,10 +42,9 @@
      * @param epochMillis time of day, in milliseconds since 1970
      */
     void run(long nowMillis, long epochMillis) {
-        for (Workflow workflow : mState.mWorkflows.values()) {
-            if (workflow.mSpec.hasSchedule() && !workflow.mState.isFinal()) {
-                openDueOccurrences(workflow, nowMillis, epochMillis);
-            }
+        for (Workflow workflow : mState.mScheduled) {
+            workflow.mOccurrences.setDueCount(
+                    OccurrenceOpener.dueCount(workflow.mSpec.schedule(), epochMillis));
         }
         mState.mProgress.update(nowMillis);
         for (PoolWorker worker : mState.mWorkers.values()) {
@@ -55,19 +52,6 @@
         }
     }
 
-    private void openDueOccurrences(Workflow workflow, long nowMillis, long epochMillis) {
-        WorkflowSpec.Schedule schedule = workflow.mSpec.schedule();
-        for (int occurrence = 0; occurrence < schedule.repeatCount(); occurrence++) {
-            long dueMillis = schedule.firstDueMillis() + occurrence * schedule.intervalMillis();
-            if (dueMillis > epochMillis) {
-                return;
-            }
-            if (!workflow.hasOpened(occurrence)) {
-                mState.queueReadySteps(workflow, occurrence, nowMillis);
-            }
-        }
-    }
-
     private void check(PoolWorker worker, long nowMillis) {
         if (worker.isIdle() && !worker.hasUnallocatedRuns()) {
             return;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -144,7 +144,7 @@
             if (!tasks.isEmpty()) {
                 place(step, tasks, queued.policy());
             } else if (step.count(Task.Phase.WAITING) == 0) {
-                mState.mWaitingSteps.remove(step);
+                mState.removeWaiting(step);
             }
         }
     }
@@ -408,7 +408,7 @@
         }
         mState.mOutput.markChanged(step.mWorkflow);
         if (step.count(Task.Phase.WAITING) == 0) {
-            mState.mWaitingSteps.remove(step);
+            mState.removeWaiting(step);
         }
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -97,9 +97,9 @@
             return;
         }
         Workflow workflow = new Workflow(spec, acceptedMillis);
-        mState.mWorkflows.put(spec.id(), workflow);
+        mState.addWorkflow(workflow);
         if (!spec.hasSchedule()) {
-            mState.queueReadySteps(workflow, 0, nowMillis);
+            mState.queueReadySteps(workflow.mOccurrences.open(0), workflow.roots(), nowMillis);
         }
     }
 
@@ -371,8 +371,7 @@
 
     private Option<Step> findStep(StepKey key) {
         Workflow workflow = mState.mWorkflows.get(key.workflow());
-        List<Step> steps = workflow == null ? null : workflow.mOccurrences.get(key.occurrence());
-        return steps == null ? Option.none() : Option.of(steps.get(key.step()));
+        return workflow == null ? Option.none() : Option.of(PoolState.findStep(workflow, key));
     }
 
     /**
@@ -393,6 +392,7 @@
     /** Places waiting tasks for which workers have room, the most urgent first, within limits. */
     public void place(RoundLimits limits, long nowMillis) {
         mAttempts.endExhausted(nowMillis);
+        mState.openDueOccurrences(nowMillis);
         new PlacementRound(mState, limits, nowMillis).run();
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -4,7 +4,6 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -13,6 +12,7 @@
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.PoolConfig;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
+import org.hyssoprouter.lib.workflow.StepKey;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStop;
 import org.hyssoprouter.lib.workflow.WorkflowState;
@@ -32,6 +32,10 @@
     final DurationEstimator mDurations = new DurationEstimator(this);
     final PlacementOrder mOrder;
     final Map<String, Workflow> mWorkflows = new LinkedHashMap<>();
+
+    /** Workflows with a schedule that are not in a terminal state. */
+    final Set<Workflow> mScheduled = new LinkedHashSet<>();
+
     final Map<String, PoolWorker> mWorkers = new LinkedHashMap<>();
 
     /** Steps whose predecessors are done and that have tasks without a run. */
@@ -143,11 +147,22 @@
         if (workflow == null) {
             return null;
         }
-        List<Step> steps = workflow.mOccurrences.get(key.step().occurrence());
-        if (steps == null || key.step().step() >= steps.size()) {
-            return null;
+        Step step = findStep(workflow, key.step());
+        return step == null ? null : step.heldTask(key.index());
+    }
+
+    /** Returns a step, or null if it is not held. */
+    static @Nullable Step findStep(Workflow workflow, StepKey key) {
+        Occurrence occurrence = workflow.mOccurrences.get(key.occurrence());
+        return occurrence == null ? null : occurrence.step(key.step());
+    }
+
+    /** Adds a workflow. */
+    void addWorkflow(Workflow workflow) {
+        mWorkflows.put(workflow.id(), workflow);
+        if (workflow.mSpec.hasSchedule() && !workflow.mState.isFinal()) {
+            mScheduled.add(workflow);
         }
-        return steps.get(key.step().step()).heldTask(key.index());
     }
 
     /**
@@ -187,25 +202,86 @@
         }
         workflow.mState = state;
         workflow.mReason = reason;
-        for (Step step : workflow.openSteps()) {
-            mWaitingSteps.remove(step);
+        mScheduled.remove(workflow);
+        for (Step step : workflow.heldSteps()) {
+            removeWaiting(step);
             step.releaseReservations();
             step.mTasks.forEach(task -> stopRun(task, reason, nowMillis));
         }
+        workflow.mOccurrences.releaseEnded();
         mOutput.markChanged(workflow);
         mOutput.recordDecision(workflow.id(), "workflow " + state, reason);
     }
 
-    /** Adds the steps of an occurrence whose predecessors are done to the waiting steps. */
-    void queueReadySteps(Workflow workflow, int occurrence, long nowMillis) {
+    /** Adds a step with tasks that wait for a run to the waiting steps. */
+    void addWaiting(Step step) {
+        if (mWaitingSteps.add(step)) {
+            step.mWorkflow.countQueued(step, 1);
+        }
+    }
+
+    /** Removes a step from the waiting steps. */
+    void removeWaiting(Step step) {
+        if (mWaitingSteps.remove(step)) {
+            step.mWorkflow.countQueued(step, -1);
+        }
+    }
+
+    /**
+     * Adds steps of an occurrence whose turn has come to the waiting steps. If enough occurrences
+     * of a schedule wait for a step, it is added later.
+     */
+    void queueReadySteps(Occurrence occurrence, int[] ready, long nowMillis) {
+        Workflow workflow = occurrence.mWorkflow;
         if (workflow.mState.isFinal()) {
             return;
         }
-        for (Step step : workflow.openOccurrence(occurrence)) {
-            if (!step.isDone() && workflow.isReady(step) && mWaitingSteps.add(step)) {
-                if (step.mReadyMillis < 0) {
-                    step.mReadyMillis = nowMillis;
-                }
+        for (int number : ready) {
+            if (occurrence.step(number) == null && !mayQueue(workflow, number)) {
+                occurrence.defer(number);
+                continue;
+            }
+            Step step = occurrence.hold(number);
+            addWaiting(step);
+            if (step.mReadyMillis < 0) {
+                step.mReadyMillis = nowMillis;
+            }
+        }
+        if (occurrence.hasDeferred()) {
+            workflow.mOccurrences.addDeferring(occurrence);
+        }
+    }
+
+    private boolean mayQueue(Workflow workflow, int step) {
+        return !workflow.mSpec.hasSchedule()
+                || workflow.queuedCount(step)
+                        < OccurrenceOpener.maxQueued(
+                                mScheduled.size(), workflow.mSpec.steps().size());
+    }
+
+    /** Queues due occurrences of schedules while few of their steps wait. */
+    void openDueOccurrences(long nowMillis) {
+        mScheduled.forEach(workflow -> new OccurrenceOpener(this, workflow, nowMillis).open());
+    }
+
+    /** Returns whether one more occurrence may wait for one of some steps. */
+    boolean mayQueueAny(Workflow workflow, int[] steps) {
+        for (int step : steps) {
+            if (mayQueue(workflow, step)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Lets go of a step that is done once none of its tasks has room. */
+    void releaseIfDone(Step step) {
+        Occurrences occurrences = step.mWorkflow.mOccurrences;
+        Occurrence occurrence = occurrences.get(step.mKey.occurrence());
+        if (occurrence != null && step.isDone() && !step.hasRoom()) {
+            occurrence.release(step);
+            if (!step.mWorkflow.mState.isFinal()) {
+                occurrences.suspendIfIdle(occurrence);
             }
         }
     }
@@ -229,24 +305,30 @@
      * it again.
      */
     void requeue(Task task, long nowMillis) {
-        task.releaseWorker(nowMillis);
+        releaseWorker(task, nowMillis);
         Step step = task.mStep;
-        markReleased(step.mWorkflow);
         if (task.mPhase == Task.Phase.WAITING && !step.mWorkflow.mState.isFinal()) {
-            mWaitingSteps.add(step);
+            addWaiting(step);
         }
     }
 
+    /** Releases the worker of a task whose run has ended. */
+    void releaseWorker(Task task, long nowMillis) {
+        task.releaseWorker(nowMillis);
+        markReleased(task.mStep.mWorkflow);
+        releaseIfDone(task.mStep);
+    }
+
     /**
      * Marks an ended workflow as changed once its last run is over, so that a new owner does not
      * count that run for the quota of the workspace.
      */
-    void markReleased(Workflow workflow) {
+    private void markReleased(Workflow workflow) {
         boolean ended =
                 workflow.mState.isFinal()
                         && !workflow.mSpec.workspace().isEmpty()
-                        && !workflow.mOccurrences.isEmpty();
-        if (ended && workflow.openSteps().stream().noneMatch(Step::hasRoom)) {
+                        && !workflow.mOccurrences.open().isEmpty();
+        if (ended && workflow.heldSteps().stream().noneMatch(Step::hasRoom)) {
             mOutput.markChanged(workflow);
         }
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -250,8 +250,7 @@
         boolean isCurrentRun = task.mRun == end.run() && worker.equals(task.mWorker);
         if (workflow.mState.isFinal() || task.mPhase == Task.Phase.DONE) {
             if (isCurrentRun) {
-                task.releaseWorker(nowMillis);
-                mState.markReleased(workflow);
+                mState.releaseWorker(task, nowMillis);
             }
             return;
         }
@@ -320,14 +319,33 @@
         if (!step.isDone()) {
             return;
         }
-        mState.mWaitingSteps.remove(step);
+        mState.removeWaiting(step);
         step.releaseReservations();
-        workflow.closeDoneOccurrences();
+        finishStep(step, nowMillis);
+    }
+
+    /** Queues the steps that depend on a step that is done, or closes its occurrence. */
+    private void finishStep(Step step, long nowMillis) {
+        Workflow workflow = step.mWorkflow;
+        Occurrence occurrence = workflow.mOccurrences.get(step.mKey.occurrence());
+        if (occurrence == null) {
+            return;
+        }
+        int number = step.mKey.step();
+        occurrence.markDone(number);
+        workflow.mOccurrences.closeIfDone(occurrence);
         if (workflow.isComplete()) {
             mState.finishWorkflow(
                     workflow, WorkflowState.COMPLETE, "all tasks completed", nowMillis);
-        } else if (workflow.mOccurrences.containsKey(step.mKey.occurrence())) {
-            mState.queueReadySteps(workflow, step.mKey.occurrence(), nowMillis);
+            return;
         }
+        StepGraph graph = workflow.graph();
+        int[] ready =
+                graph.successorsOf(number)
+                        .filter(it -> graph.isReady(it, occurrence.doneSteps()))
+                        .distinct()
+                        .toArray();
+        mState.queueReadySteps(occurrence, ready, nowMillis);
+        mState.releaseIfDone(step);
     }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -33,6 +33,9 @@
     /** Number of tasks in each phase, without those that were not needed yet. */
     private final Map<Task.Phase, Integer> mCounts = new EnumMap<>(Task.Phase.class);
 
+    /** Whether the step was done under a former owner, whatever tasks are held. */
+    private boolean mDone;
+
     /** Position in {@link #mTasks} before which all tasks are done and have no room. */
     private int mFirstOpen;
 
@@ -140,7 +143,15 @@
     }
 
     boolean isDone() {
-        return count(Task.Phase.DONE) == mSpec.taskCount();
+        return mDone || count(Task.Phase.DONE) == mSpec.taskCount();
+    }
+
+    /**
+     * Records that the step was done under a former owner; the tasks that are held may have room.
+     */
+    void markDone(long nowMillis) {
+        mDone = true;
+        mTasks.forEach(task -> task.setPhase(Task.Phase.DONE, nowMillis));
     }
 
     int count(Task.Phase phase) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
@@ -1,12 +1,10 @@
 package org.hyssoprouter.internal.workflow;
 
 import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
-import java.util.TreeSet;
-import org.hyssoprouter.lib.workflow.StepKey;
-import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.jspecify.annotations.Nullable;
@@ -18,8 +16,11 @@
     /** Time of the acceptance on the owner's clock, in milliseconds. */
     final long mAcceptedMillis;
 
-    final Map<Integer, List<Step>> mOccurrences = new TreeMap<>();
-    final TreeSet<Integer> mEndedOccurrences = new TreeSet<>();
+    final Occurrences mOccurrences = new Occurrences(this);
+
+    /** Number of queued steps of all occurrences of a schedule, by the number of the step. */
+    private final Map<Integer, Integer> mQueuedCounts = new HashMap<>();
+
     WorkflowState mState = WorkflowState.PENDING;
 
     /** Whether a worker has begun a run. The state is ACTIVE as soon as a start is decided. */
@@ -30,6 +31,8 @@
 
     String mReason = "";
 
+    private @Nullable StepGraph mGraph;
+
     /** Expected time to the end by step; null until it is needed. */
     @Nullable CriticalPath mCriticalPath;
 
@@ -42,65 +45,45 @@
         return mSpec.id();
     }
 
-    /** Opens an occurrence if it is not open yet. Returns its steps. */
-    List<Step> openOccurrence(int occurrence) {
-        return mOccurrences.computeIfAbsent(
-                occurrence,
-                number -> {
-                    List<Step> steps = new ArrayList<>();
-                    for (StepSpec spec : mSpec.steps()) {
-                        StepKey key = new StepKey(id(), number, steps.size());
-                        steps.add(new Step(this, key, spec));
-                    }
-                    return steps;
-                });
-    }
-
-    /** Returns whether an occurrence is open or has ended. */
-    boolean hasOpened(int occurrence) {
-        return mOccurrences.containsKey(occurrence) || mEndedOccurrences.contains(occurrence);
+    /** Returns the dependencies between the steps. */
+    StepGraph graph() {
+        if (mGraph == null) {
+            mGraph = new StepGraph(mSpec.steps());
+        }
+        return mGraph;
     }
 
-    /** Returns whether all steps that a step depends on are done. */
-    boolean isReady(Step step) {
-        List<Step> steps = openOccurrence(step.mKey.occurrence());
-        for (int dependency : step.mSpec.after()) {
-            if (!steps.get(dependency).isDone()) {
-                return false;
-            }
-        }
-        return true;
+    /** Returns the steps that depend on no other one. */
+    int[] roots() {
+        return graph().readySteps(new BitSet());
     }
 
-    List<Step> openSteps() {
+    /** Returns the held steps of all open occurrences. */
+    List<Step> heldSteps() {
         List<Step> all = new ArrayList<>();
-        mOccurrences.values().forEach(all::addAll);
+        mOccurrences.open().forEach(occurrence -> all.addAll(occurrence.steps()));
         return all;
     }
 
-    /** Closes occurrences whose steps are all done and records them as ended. */
-    void closeDoneOccurrences() {
-        mOccurrences
-                .entrySet()
-                .removeIf(
-                        entry -> {
-                            boolean done = entry.getValue().stream().allMatch(Step::isDone);
-                            if (done) {
-                                mEndedOccurrences.add(entry.getKey());
-                            }
-                            return done;
-                        });
+    /** Counts a step of a schedule that is queued, or is not any more. */
+    void countQueued(Step step, int difference) {
+        if (mSpec.hasSchedule()) {
+            mQueuedCounts.merge(step.mKey.step(), difference, Integer::sum);
+        }
+    }
+
+    /** Returns in how many occurrences of a schedule a step is queued. */
+    int queuedCount(int step) {
+        return mQueuedCounts.getOrDefault(step, 0);
     }
 
     /** Returns whether a former owner has ordered a run whose worker has not reported since. */
     boolean hasInheritedRuns() {
-        return mOccurrences.values().stream()
-                .flatMap(List::stream)
-                .anyMatch(step -> step.count(Task.Phase.INHERITED) > 0);
+        return heldSteps().stream().anyMatch(step -> step.count(Task.Phase.INHERITED) > 0);
     }
 
     /** Returns whether all occurrences have ended. */
     boolean isComplete() {
-        return mEndedOccurrences.size() >= mSpec.occurrenceCount();
+        return mOccurrences.endedCount() >= mSpec.occurrenceCount();
     }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowParts.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowParts.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.TreeSet;
 import java.util.function.Supplier;
 import org.hyssoprouter.lib.workflow.StepKey;
 import org.hyssoprouter.lib.workflow.TaskKey;
@@ -15,9 +14,9 @@
 
 /**
  * Divides the durable state of a workflow into parts of bounded size, and joins them again. A part
- * holds a slice of the tasks of one step, the fields of a whole step, or which of some occurrences
- * have ended. Leading tasks of a step that are done are a number in the part of the step, so that
- * the parts do not grow with the width of the step, but with what runs and waits.
+ * holds a slice of the tasks of one step, the fields of a whole step, or which steps are done in
+ * some occurrences. Leading tasks of a step that are done are a number in the part of the step, so
+ * that the parts do not grow with the width of the step, but with what runs and waits.
  *
  * @since 0.3
  */
@@ -25,11 +24,7 @@
     /** Number of tasks in a slice. */
     static final int TASKS_PER_SLICE = 64;
 
-    /** Number of occurrences in a part that holds which of them have ended. */
-    static final int OCCURRENCES_PER_PART = 4_096;
-
     private static final char SEPARATOR = '.';
-    private static final String OCCURRENCES_PREFIX = "e";
 
     private final Workflow mWorkflow;
     private final Supplier<StoreOffset> mClock;
@@ -40,9 +35,6 @@
     /** Slices with tasks to store, by name of the part. */
     private final Map<String, Slice> mSlices = new LinkedHashMap<>();
 
-    private int mEndedCount;
-    private Map<String, WorkflowPartRow> mEndedParts = Map.of();
-
     /** Range of positions among the tasks that a step holds. */
     private record Slice(Step step, int from, int to) {
         List<Task> tasks() {
@@ -71,14 +63,14 @@
         boolean isFinal = mWorkflow.mState.isFinal();
         // A workflow in a terminal state needs no occurrences, and tasks for a quota only.
         if (!isFinal) {
-            mGuards.putAll(endedParts());
-        }
-        if (!isFinal || !mWorkflow.mSpec.workspace().isEmpty()) {
-            mWorkflow.openSteps().forEach(step -> refresh(step, isFinal));
+            mGuards.putAll(
+                    ProgressParts.of(mWorkflow.mOccurrences, mWorkflow.mSpec.steps().size()));
         }
+        mWorkflow.heldSteps().stream().filter(WorkflowRow::isStored).forEach(this::refresh);
     }
 
-    private void refresh(Step step, boolean isFinal) {
+    private void refresh(Step step) {
+        boolean onlyWithRoom = WorkflowRow.needsOnlyRoom(step);
         step.dropDone(TASKS_PER_SLICE);
         String checkpoint = WorkflowRow.gangCheckpointOf(step);
         boolean hasFields =
@@ -86,7 +78,7 @@
                         || step.mGangFailures > 0
                         || step.mLastFailedGangRun > 0
                         || !checkpoint.isEmpty();
-        if (hasFields && !isFinal) {
+        if (hasFields && !onlyWithRoom) {
             WorkflowRow.StepRow row =
                     new WorkflowRow.StepRow(
                             step.mKey.occurrence(),
@@ -96,48 +88,17 @@
                             List.of(),
                             step.mLastFailedGangRun,
                             step.doneBelow());
-            mGuards.put(nameOf(step.mKey), new WorkflowPartRow(List.of(row), List.of()));
+            mGuards.put(nameOf(step.mKey), WorkflowPartRow.of(row));
         }
         int size = step.mTasks.size();
         for (int from = 0; from < size; from += TASKS_PER_SLICE) {
             Slice slice = new Slice(step, from, Math.min(size, from + TASKS_PER_SLICE));
-            if (slice.tasks().stream().anyMatch(it -> WorkflowRow.isStored(it, isFinal))) {
+            if (slice.tasks().stream().anyMatch(it -> WorkflowRow.isStored(it, onlyWithRoom))) {
                 mSlices.put(nameOf(step.mTasks.get(from).mKey), slice);
             }
         }
     }
 
-    private Map<String, WorkflowPartRow> endedParts() {
-        if (mEndedCount != mWorkflow.mEndedOccurrences.size()) {
-            mEndedCount = mWorkflow.mEndedOccurrences.size();
-            mEndedParts = new LinkedHashMap<>();
-            splitOccurrences(mWorkflow.mEndedOccurrences)
-                    .forEach(
-                            (name, ranges) ->
-                                    mEndedParts.put(name, new WorkflowPartRow(List.of(), ranges)));
-        }
-        return mEndedParts;
-    }
-
-    private static Map<String, List<WorkflowPartRow.OccurrenceRange>> splitOccurrences(
-            Collection<Integer> ended) {
-        Map<String, List<WorkflowPartRow.OccurrenceRange>> parts = new LinkedHashMap<>();
-        for (int occurrence : ended) {
-            List<WorkflowPartRow.OccurrenceRange> ranges =
-                    parts.computeIfAbsent(
-                            OCCURRENCES_PREFIX + occurrence / OCCURRENCES_PER_PART,
-                            it -> new ArrayList<>());
-            int last = ranges.size() - 1;
-            if (last >= 0 && ranges.get(last).last() == occurrence - 1) {
-                int first = ranges.get(last).first();
-                ranges.set(last, new WorkflowPartRow.OccurrenceRange(first, occurrence));
-            } else {
-                ranges.add(new WorkflowPartRow.OccurrenceRange(occurrence, occurrence));
-            }
-        }
-        return parts;
-    }
-
     /** Returns the names of the parts that rows of slices may be deleted after. */
     public Collection<String> guardNames() {
         return mGuards.keySet();
@@ -155,17 +116,16 @@
         if (guard != null || slice == null) {
             return guard;
         }
-        boolean isFinal = mWorkflow.mState.isFinal();
+        boolean onlyWithRoom = WorkflowRow.needsOnlyRoom(slice.step());
         List<WorkflowRow.TaskRow> tasks = new ArrayList<>();
         for (Task task : slice.tasks()) {
-            if (WorkflowRow.isStored(task, isFinal)) {
+            if (WorkflowRow.isStored(task, onlyWithRoom)) {
                 tasks.add(WorkflowRow.rowOf(task, mClock.get()));
             }
         }
         StepKey key = slice.step().mKey;
-        return new WorkflowPartRow(
-                List.of(new WorkflowRow.StepRow(key.occurrence(), key.step(), 0, "", tasks, 0)),
-                List.of());
+        return WorkflowPartRow.of(
+                new WorkflowRow.StepRow(key.occurrence(), key.step(), 0, "", tasks, 0));
     }
 
     /** Returns whether a row holds what a part is to hold. */
@@ -177,12 +137,12 @@
         if (row.steps().size() != 1) {
             return false;
         }
-        boolean isFinal = mWorkflow.mState.isFinal();
+        boolean onlyWithRoom = WorkflowRow.needsOnlyRoom(slice.step());
         StoreOffset clock = mClock.get();
         List<WorkflowRow.TaskRow> rows = row.steps().get(0).tasks();
         int position = 0;
         for (Task task : slice.tasks()) {
-            if (!WorkflowRow.isStored(task, isFinal)) {
+            if (!WorkflowRow.isStored(task, onlyWithRoom)) {
                 continue;
             }
             if (position == rows.size() || !rows.get(position).isRowOf(task, clock)) {
@@ -204,17 +164,17 @@
         if (parts.isEmpty()) {
             return main;
         }
-        TreeSet<Integer> ended = new TreeSet<>(main.endedOccurrences());
-        for (WorkflowPartRow part : parts) {
-            for (WorkflowPartRow.OccurrenceRange range : part.ended()) {
-                for (int number = range.first(); number <= range.last(); number++) {
-                    ended.add(number);
-                }
-            }
-        }
+        OccurrenceSet ended = new OccurrenceSet();
+        main.endedOccurrences().forEach(ended::add);
+        main.ended().forEach(ended::add);
+        List<WorkflowRow.DoneSteps> doneSteps = new ArrayList<>(main.doneSteps());
         Map<StepKey, JoinedStep> steps = new HashMap<>();
         main.steps().forEach(it -> joined(steps, it).add(it));
-        parts.forEach(part -> part.steps().forEach(it -> joined(steps, it).add(it)));
+        for (WorkflowPartRow part : parts) {
+            part.ended().forEach(ended::add);
+            doneSteps.addAll(part.doneSteps());
+            part.steps().forEach(it -> joined(steps, it).add(it));
+        }
         List<WorkflowRow.StepRow> rows = new ArrayList<>();
         steps.forEach(
                 (key, step) -> {
@@ -225,10 +185,12 @@
         return new WorkflowRow(
                 main.queue(),
                 main.state(),
-                new ArrayList<>(ended),
+                List.of(),
                 rows,
                 main.reason(),
-                main.begun());
+                main.begun(),
+                ended.ranges(0),
+                doneSteps);
     }
 
     private static JoinedStep joined(Map<StepKey, JoinedStep> steps, WorkflowRow.StepRow step) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRestorer.java
@@ -26,32 +26,40 @@
         workflow.mState = row.state();
         workflow.mBegun = row.hasBegun();
         workflow.mReason = row.reason();
-        workflow.mEndedOccurrences.addAll(row.endedOccurrences());
-        mState.mWorkflows.put(spec.id(), workflow);
+        mState.addWorkflow(workflow);
+        restoreProgress(workflow.mOccurrences, row);
         for (WorkflowRow.StepRow step : row.steps()) {
-            if (step.step() < spec.steps().size()) {
-                restoreStep(workflow.openOccurrence(step.occurrence()).get(step.step()), step);
+            if (step.step() < spec.steps().size()
+                    && !workflow.mOccurrences.ended().contains(step.occurrence())) {
+                restoreStep(workflow.mOccurrences.open(step.occurrence()), step);
             }
         }
         if (row.state().isFinal()) {
             return;
         }
-        if (!spec.hasSchedule() && workflow.mEndedOccurrences.isEmpty()) {
-            workflow.openOccurrence(0);
+        if (!spec.hasSchedule() && workflow.mOccurrences.endedCount() == 0) {
+            workflow.mOccurrences.open(0);
         }
-        workflow.mOccurrences
-                .keySet()
-                .forEach(occurrence -> mState.queueReadySteps(workflow, occurrence, mNowMillis));
+        for (Occurrence occurrence : List.copyOf(workflow.mOccurrences.open())) {
+            mState.queueReadySteps(
+                    occurrence, workflow.graph().readySteps(occurrence.doneSteps()), mNowMillis);
+            workflow.mOccurrences.closeIfDone(occurrence);
+            workflow.mOccurrences.suspendIfIdle(occurrence);
+        }
+    }
+
+    private static void restoreProgress(Occurrences occurrences, WorkflowRow row) {
+        row.endedOccurrences()
+                .forEach(it -> occurrences.restoreEnded(new WorkflowRow.OccurrenceRange(it, it)));
+        row.ended().forEach(occurrences::restoreEnded);
+        row.doneSteps().forEach(occurrences::restoreDone);
     }
 
-    private void restoreStep(Step step, WorkflowRow.StepRow row) {
+    private void restoreStep(Occurrence occurrence, WorkflowRow.StepRow row) {
+        boolean wasDone = occurrence.doneSteps().get(row.step());
+        Step step = occurrence.hold(row.step());
+        restoreFields(step, row);
         int urgency = mState.policyOf(step.mWorkflow).map(QueuePolicy::priority).getOrElse(0);
-        step.mHasFailures =
-                row.gangFailures() > 0 || row.tasks().stream().anyMatch(it -> it.failures() > 0);
-        step.mGangFailures = row.gangFailures();
-        step.mLastFailedGangRun = row.lastFailedRun();
-        step.mGangCheckpoint = row.checkpoint();
-        step.restoreDoneBelow(row.doneBelow());
         for (WorkflowRow.TaskRow taskRow : row.tasks()) {
             boolean isHeld = taskRow.index() >= row.doneBelow();
             if (!isHeld || taskRow.index() >= step.mSpec.taskCount()) {
@@ -64,7 +72,8 @@
             task.mProvedCrashes.addAll(taskRow.provedCrashes());
             task.mCheckpoint = taskRow.checkpoint();
             // The run of a completed task may go on; it counts for the quota of its workspace.
-            boolean counts = !taskRow.done() || !step.mWorkflow.mSpec.workspace().isEmpty();
+            boolean isDone = wasDone || taskRow.done();
+            boolean counts = !isDone || !step.mWorkflow.mSpec.workspace().isEmpty();
             if (counts && !taskRow.worker().isEmpty()) {
                 PoolWorker worker = restoredWorker(taskRow.worker());
                 long begunMillis =
@@ -73,10 +82,28 @@
                 task.mUrgency = urgency;
                 worker.allocate(task, WorkerSelector.requiredRoom(step.mSpec));
             }
-            if (taskRow.done()) {
+            if (isDone) {
                 task.setPhase(Task.Phase.DONE, mNowMillis);
             }
         }
+        if (wasDone) {
+            step.markDone(mNowMillis);
+        }
+        if (step.isDone()) {
+            occurrence.markDone(row.step());
+            if (!step.hasRoom()) {
+                occurrence.release(step);
+            }
+        }
+    }
+
+    private static void restoreFields(Step step, WorkflowRow.StepRow row) {
+        step.mHasFailures =
+                row.gangFailures() > 0 || row.tasks().stream().anyMatch(it -> it.failures() > 0);
+        step.mGangFailures = row.gangFailures();
+        step.mLastFailedGangRun = row.lastFailedRun();
+        step.mGangCheckpoint = row.checkpoint();
+        step.restoreDoneBelow(row.doneBelow());
     }
 
     // An unlisted worker may still execute runs that a previous owner started.
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRow.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.List;
 import java.util.Objects;
 import org.hyssoprouter.lib.workflow.WorkflowState;
@@ -11,11 +12,14 @@
  *
  * @param queue name of the workflow's queue
  * @param state state of the workflow, as reported to callers
- * @param endedOccurrences numbers of the occurrences whose steps are all done
- * @param steps steps with at least one started task
+ * @param endedOccurrences numbers of the occurrences whose steps are all done; only in rows of an
+ *     earlier release
+ * @param steps steps that wait or run, with at least one started task
  * @param reason reason of a terminal state, or empty
  * @param begun whether a worker is known to have begun a run; written with the next change of the
  *     workflow only, and false in rows of an earlier release
+ * @param ended ranges of occurrences whose steps are all done
+ * @param doneSteps steps that are done in occurrences that have not ended
  * @since 0.2
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -25,13 +29,17 @@
         List<Integer> endedOccurrences,
         List<StepRow> steps,
         String reason,
-        boolean begun) {
+        boolean begun,
+        List<OccurrenceRange> ended,
+        List<DoneSteps> doneSteps) {
     /** Length up to which a reason is stored. */
     private static final int MAX_REASON_LENGTH = 2_000;
 
-    /** Replaces the reason that rows of an earlier release lack. */
+    /** Replaces the fields that rows of an earlier release lack. */
     public WorkflowRow {
         reason = Objects.requireNonNullElse(reason, "");
+        ended = Objects.requireNonNullElse(ended, List.of());
+        doneSteps = Objects.requireNonNullElse(doneSteps, List.of());
     }
 
     /** Creates the row of a workflow of which no run is known to have begun. */
@@ -41,12 +49,64 @@
             List<Integer> endedOccurrences,
             List<StepRow> steps,
             String reason) {
-        this(queue, state, endedOccurrences, steps, reason, false);
+        this(queue, state, endedOccurrences, steps, reason, false, List.of(), List.of());
     }
 
     /** Returns whether a worker has certainly begun a run. */
     boolean hasBegun() {
-        return begun || !endedOccurrences.isEmpty() || steps.stream().anyMatch(StepRow::hasBegun);
+        return begun
+                || !endedOccurrences.isEmpty()
+                || !ended.isEmpty()
+                || !doneSteps.isEmpty()
+                || steps.stream().anyMatch(StepRow::hasBegun);
+    }
+
+    /**
+     * Range of occurrences.
+     *
+     * @param first number of the first occurrence
+     * @param last number of the last occurrence
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    public record OccurrenceRange(int first, int last) {}
+
+    /**
+     * Steps that are done in each occurrence of a range.
+     *
+     * @param steps set of the steps; bit I of word W stands for step 64 x W + I
+     */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
+    public record DoneSteps(OccurrenceRange occurrences, List<Long> steps) {
+        static DoneSteps of(int first, int last, List<Long> steps) {
+            return new DoneSteps(new OccurrenceRange(first, last), steps);
+        }
+
+        /** Returns the steps below a number that are done. */
+        BitSet toBits(int stepCount) {
+            BitSet bits = BitSet.valueOf(steps.stream().mapToLong(it -> it).toArray());
+            bits.clear(stepCount, Math.max(stepCount, bits.length()));
+            return bits;
+        }
+
+        /** Joins neighboring ranges with the same steps. */
+        static List<DoneSteps> merge(Iterable<DoneSteps> sorted) {
+            List<DoneSteps> merged = new ArrayList<>();
+            for (DoneSteps next : sorted) {
+                int position = merged.size() - 1;
+                DoneSteps former = position < 0 ? null : merged.get(position);
+                boolean isNeighbor =
+                        former != null
+                                && former.occurrences().last() == next.occurrences().first() - 1
+                                && former.steps().equals(next.steps());
+                if (former != null && isNeighbor) {
+                    int first = former.occurrences().first();
+                    merged.set(position, of(first, next.occurrences().last(), next.steps()));
+                } else {
+                    merged.add(next);
+                }
+            }
+            return merged;
+        }
     }
 
     /**
@@ -170,7 +230,9 @@
                 List.of(),
                 List.of(),
                 storedReason(workflow),
-                workflow.mBegun);
+                workflow.mBegun,
+                List.of(),
+                List.of());
     }
 
     private static String storedReason(Workflow workflow) {
@@ -187,10 +249,11 @@
     static WorkflowRow of(Workflow workflow, StoreOffset clock) {
         List<StepRow> steps = new ArrayList<>();
         boolean isFinal = workflow.mState.isFinal();
-        if (!isFinal || !workflow.mSpec.workspace().isEmpty()) {
-            for (Step step : workflow.openSteps()) {
-                List<TaskRow> tasks = tasksOf(step, isFinal, clock);
-                if (!tasks.isEmpty() || step.doneBelow() > 0) {
+        for (Step step : workflow.heldSteps()) {
+            if (isStored(step)) {
+                boolean onlyWithRoom = needsOnlyRoom(step);
+                List<TaskRow> tasks = tasksOf(step, onlyWithRoom, clock);
+                if (!tasks.isEmpty() || (step.doneBelow() > 0 && !onlyWithRoom)) {
                     steps.add(rowOf(step, tasks));
                 }
             }
@@ -198,10 +261,12 @@
         return new WorkflowRow(
                 workflow.mSpec.queue(),
                 workflow.mState,
-                new ArrayList<>(workflow.mEndedOccurrences),
+                List.of(),
                 steps,
                 storedReason(workflow),
-                workflow.mBegun);
+                workflow.mBegun,
+                isFinal ? List.of() : workflow.mOccurrences.ended().ranges(0),
+                isFinal ? List.of() : workflow.mOccurrences.doneSteps());
     }
 
     private static StepRow rowOf(Step step, List<TaskRow> tasks) {
@@ -230,10 +295,23 @@
         return rows;
     }
 
+    /** Returns whether the row of its workflow holds tasks of a step. */
+    static boolean isStored(Step step) {
+        return !needsOnlyRoom(step) || !step.mWorkflow.mSpec.workspace().isEmpty();
+    }
+
+    /**
+     * Returns whether a new owner only needs the tasks of a step whose runs still count for the
+     * quota of its workspace.
+     */
+    static boolean needsOnlyRoom(Step step) {
+        return step.mWorkflow.mState.isFinal() || step.isDone();
+    }
+
     /**
      * Returns whether the row of its workflow holds a task.
      *
-     * @param onlyWithRoom whether the workflow is in a terminal state
+     * @param onlyWithRoom whether its step is done or its workflow is in a terminal state
      */
     static boolean isStored(Task task, boolean onlyWithRoom) {
         return task.mRun > 0 && (task.occupies() || !onlyWithRoom);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRows.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkflowRows.java
@@ -64,7 +64,7 @@
             return;
         }
         workflow.mHeld = true;
-        workflow.openSteps().forEach(Step::releaseReservations);
+        workflow.heldSteps().forEach(Step::releaseReservations);
         for (TaskStart start : unsentStarts) {
             Task task = mState.findTask(start.task());
             if (task != null && task.mRun == start.run() && task.mWorker != null) {
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/ObjectiveOrderTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/ObjectiveOrderTest.java
@@ -33,7 +33,7 @@
                                 queue.name(),
                                 PoolSchedulerTest.step(1, 1_000, TASK_MILLIS, false)),
                         acceptedMillis);
-        return mState.mOrder.rank(workflow.openOccurrence(0).get(0), queue, nowMillis);
+        return mState.mOrder.rank(workflow.mOccurrences.open(0).hold(0), queue, nowMillis);
     }
 
     @Test
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedRows.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/SimulatedRows.java
@@ -30,10 +30,21 @@
             return false;
         }
         return row.state().isFinal()
-                || row.endedOccurrences().contains(key.step().occurrence())
+                || row.ended().stream().anyMatch(it -> contains(it, key))
+                || row.doneSteps().stream().anyMatch(it -> isDone(it, key))
                 || row.steps().stream().anyMatch(step -> isDone(step, key));
     }
 
+    private static boolean contains(WorkflowRow.OccurrenceRange range, TaskKey key) {
+        int occurrence = key.step().occurrence();
+        return range.first() <= occurrence && occurrence <= range.last();
+    }
+
+    private static boolean isDone(WorkflowRow.DoneSteps row, TaskKey key) {
+        int step = key.step().step();
+        return contains(row.occurrences(), key) && row.toBits(step + 1).get(step);
+    }
+
     private static boolean isDone(WorkflowRow.StepRow step, TaskKey key) {
         return step.occurrence() == key.step().occurrence()
                 && step.step() == key.step().step()
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkflowPartsTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkflowPartsTest.java
@@ -11,7 +11,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
-import java.util.TreeSet;
 import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
@@ -63,21 +62,28 @@
         steps.sort(
                 Comparator.comparingInt(WorkflowRow.StepRow::occurrence)
                         .thenComparingInt(WorkflowRow.StepRow::step));
+        List<WorkflowRow.DoneSteps> doneSteps = new ArrayList<>(row.doneSteps());
+        doneSteps.sort(Comparator.comparingInt(it -> it.occurrences().first()));
         return new WorkflowRow(
                 row.queue(),
                 row.state(),
-                new ArrayList<>(new TreeSet<>(row.endedOccurrences())),
+                row.endedOccurrences(),
                 steps,
-                row.reason());
+                row.reason(),
+                row.begun(),
+                row.ended(),
+                WorkflowRow.DoneSteps.merge(doneSteps));
     }
 
     private static void randomize(Workflow workflow, Random random) {
         for (int occurrence = 0; occurrence < 12; occurrence++) {
             if (random.nextInt(3) == 0) {
-                workflow.mEndedOccurrences.add(occurrence);
+                workflow.mOccurrences.ended().add(occurrence);
                 continue;
             }
-            for (Step step : workflow.openOccurrence(occurrence)) {
+            Occurrence open = workflow.mOccurrences.open(occurrence);
+            for (int number = 0; number < workflow.mSpec.steps().size(); number++) {
+                Step step = open.hold(number);
                 int done = random.nextInt(step.mSpec.taskCount() + 1);
                 for (int index = 0; index < step.mSpec.taskCount(); index++) {
                     if (index < done || random.nextInt(3) == 0) {
@@ -88,6 +94,9 @@
                 }
                 step.mGangFailures = step.mSpec.gang() ? random.nextInt(3) : 0;
                 step.mLastFailedGangRun = step.mGangFailures;
+                if (step.isDone()) {
+                    open.markDone(number);
+                }
             }
         }
     }
@@ -116,7 +125,7 @@
             randomize(workflow, random);
             WorkflowParts parts = partsOf(workflow);
             for (int round = 0; round < 2; round++) {
-                for (Step step : workflow.openSteps()) {
+                for (Step step : workflow.heldSteps()) {
                     for (Task.Phase phase : Task.Phase.values()) {
                         assertEquals(countOf(step, phase), step.count(phase), "seed " + seed);
                     }
@@ -142,7 +151,7 @@
     @Test
     void restoredStepKnowsTheTasksThatAreDone() {
         Workflow workflow = workflow(0, 1_000);
-        Step step = workflow.openOccurrence(0).get(0);
+        Step step = workflow.mOccurrences.open(0).hold(0);
         for (int index = 0; index < 500; index++) {
             finish(step.task(index));
         }
@@ -162,7 +171,7 @@
     @Test
     void tasksThatAreDoneTakeNoRow() {
         Workflow workflow = workflow(0, Integer.MAX_VALUE);
-        Step step = workflow.openOccurrence(0).get(0);
+        Step step = workflow.mOccurrences.open(0).hold(0);
         WorkflowParts parts = partsOf(workflow);
         for (int index = 0; index < 100_000; index++) {
             finish(step.task(index));
@@ -182,7 +191,7 @@
     @Test
     void partsAreSmallHoweverLargeTheWorkflow() {
         Workflow workflow = workflow(200_000, 2_000);
-        Step step = workflow.openOccurrence(0).get(0);
+        Step step = workflow.mOccurrences.open(0).hold(0);
         for (int index = 0; index < 2_000; index++) {
             Task task = step.task(index);
             start(task, 1_000_000);
@@ -193,7 +202,7 @@
             task.mCheckpoint = "c".repeat(100);
         }
         for (int i = 1; i < 200_000; i += 2) {
-            workflow.mEndedOccurrences.add(i);
+            workflow.mOccurrences.ended().add(i);
         }
         allOf(partsOf(workflow))
                 .forEach(
@@ -207,7 +216,7 @@
     @Test
     void changeOfATaskChangesOnePart() {
         Workflow workflow = workflow(0, 5_000);
-        Step step = workflow.openOccurrence(0).get(0);
+        Step step = workflow.mOccurrences.open(0).hold(0);
         for (int index = 0; index < 5_000; index++) {
             start(step.task(index), 3);
         }
@@ -230,7 +239,7 @@
     @Test
     void partIsNewerThanTheUndividedRow() {
         Workflow workflow = workflow(0, 200);
-        Step step = workflow.openOccurrence(0).get(0);
+        Step step = workflow.mOccurrences.open(0).hold(0);
         start(step.task(0), 1);
         start(step.task(150), 1);
         WorkflowRow undivided = WorkflowRow.of(workflow, StoreOffset.NONE);
