Make the tasks of a step once there is room for them

Cause: each round made all tasks of a gang whose turn had come, before it looked for room. A histogram of the owner's heap during the case: 326,972 Task objects with 52 MB of 96, and as many keys. Other steps made up to 256 tasks each, room or not; the forecast made an object for each place that a gang needs; each lost member of a gang went through all members.

Change: rounds count tasks and places, and the tasks are made when workers are chosen for them. A gang that is wider than its pool, were the pool empty, is passed over: it claims no workers, asks for no approval and preempts nothing, until there are enough workers. It had kept all workers from others where gangs claim without a forecast.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ApprovedPlacement.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ApprovedPlacement.java
@@ -84,8 +84,7 @@
     }
 
     /** Places the tasks for which workers with valid tickets have room, then requests tickets. */
-    void place(
-            Step step, List<Task> tasks, QueuePolicy policy, QueuePolicy.ApprovalPolicy approval) {
+    void place(Step step, int tasks, QueuePolicy policy, QueuePolicy.ApprovalPolicy approval) {
         boolean mayRequest =
                 step.mApprovals.mayRequest(mNowMillis)
                         && (mRemainingShortRequests > 0 || mRemainingLongRequests > 0);
@@ -117,12 +116,12 @@
                 }
             }
         }
-        List<Task> unplaced = tasks;
+        int unplaced = tasks;
         if (!withTicket.isEmpty()) {
             mRound.assign(step, mRound.plan(step, tasks, withTicket));
-            unplaced = mRound.admittedTasks(step);
+            unplaced = mRound.admittedCount(step);
         }
-        if (unplaced.isEmpty()) {
+        if (unplaced == 0) {
             return;
         }
         countUnplaced(step);
@@ -150,7 +149,7 @@
      */
     private void requestApproval(
             Step step,
-            List<Task> unplaced,
+            int unplaced,
             List<PoolWorker> approved,
             List<PoolWorker> withRoom,
             QueuePolicy policy,
@@ -165,7 +164,7 @@
         }
         boolean mayPreempt =
                 (!step.mSpec.gang() || ++mPreemptingGangs <= MAX_PREEMPTING_GANGS)
-                        && remainingRequests(approval.expectedCallMillis(unplaced.size())) > 0;
+                        && remainingRequests(approval.expectedCallMillis(unplaced)) > 0;
         if (mayPreempt && mRound.preempt(step, unplaced, approved)) {
             renewReservedTickets(step, approval);
             return;
@@ -173,8 +172,7 @@
         List<PoolWorker> unqueried =
                 hasEnoughWorkers(step, approved) ? List.of() : unqueriedWorkers(step, policy);
         if (!unqueried.isEmpty()) {
-            int count =
-                    Math.min(unqueried.size(), queryCount(step, unplaced.size(), approved.size()));
+            int count = Math.min(unqueried.size(), queryCount(step, unplaced, approved.size()));
             sendRequest(step, unqueried.subList(0, count), approval);
             return;
         }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/AttemptLimits.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/AttemptLimits.java
@@ -42,8 +42,11 @@
         List<Task> exhausted = new ArrayList<>();
         for (Step step : mState.mWaitingSteps) {
             if (step.mHasFailures) {
+                // The members of a gang share their attempts.
                 step.mTasks.stream()
-                        .filter(it -> it.mPhase == Task.Phase.WAITING && isExhausted(it))
+                        .filter(it -> it.mPhase == Task.Phase.WAITING)
+                        .limit(step.mSpec.gang() ? 1 : Long.MAX_VALUE)
+                        .filter(this::isExhausted)
                         .findFirst()
                         .ifPresent(exhausted::add);
             }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
+import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 
@@ -55,6 +56,10 @@
     private final WorkerClaims mClaims;
     private final RoomForecast mForecast;
     private final Map<String, List<PoolWorker>> mSchedulable = new HashMap<>();
+
+    /** Number of tasks that pools have room for when they are empty. */
+    private final Map<PoolCapacity, Long> mCapacities = new HashMap<>();
+
     private final Preemption mPreemption;
     private final ApprovedPlacement mApprovedPlacement;
     private final RoundLimits mLimits;
@@ -80,6 +85,9 @@
         mApprovedPlacement = new ApprovedPlacement(state, this, limits, nowMillis);
     }
 
+    /** Pool and what decides how many tasks it has room for. */
+    private record PoolCapacity(String pool, Room room, String label, int maxPerWorker) {}
+
     /**
      * A waiting step and the values that determine its position in the round; the first one that
      * differs decides.
@@ -140,8 +148,12 @@
                 queue.add(queued.atLevel(shareLevel));
                 continue;
             }
-            List<Task> tasks = admittedTasks(step);
-            if (!tasks.isEmpty()) {
+            if (isTooWide(step, queued.policy().pool())) {
+                step.releaseReservations();
+                continue;
+            }
+            int tasks = admittedCount(step);
+            if (tasks > 0) {
                 place(step, tasks, queued.policy());
             } else if (step.count(Task.Phase.WAITING) == 0) {
                 mState.removeWaiting(step);
@@ -149,9 +161,42 @@
         }
     }
 
-    /** Returns the tasks of a step that may be placed now within the quota of its workspace. */
-    List<Task> admittedTasks(Step step) {
-        return mQuotas.admit(step, step.placeableTasks());
+    /** Returns how many tasks of a step may be placed now within the quota of its workspace. */
+    int admittedCount(Step step) {
+        return mQuotas.admit(step, step.placeableCount());
+    }
+
+    /**
+     * Returns whether a gang has more members than its pool has capacity for, whatever runs there.
+     * It waits until there are enough workers, and keeps nothing from others until then.
+     */
+    private boolean isTooWide(Step step, String pool) {
+        StepSpec spec = step.mSpec;
+        if (!spec.gang()) {
+            return false;
+        }
+        PoolCapacity capacity =
+                new PoolCapacity(
+                        pool,
+                        WorkerSelector.requiredRoom(spec),
+                        spec.limits().label(),
+                        spec.limits().maxPerWorker());
+        return spec.taskCount() > mCapacities.computeIfAbsent(capacity, it -> tasksIn(step, it));
+    }
+
+    /** Returns the number of tasks like those of a step that an empty pool has room for. */
+    private long tasksIn(Step step, PoolCapacity capacity) {
+        long count = 0;
+        for (PoolWorker worker : schedulableWorkers(capacity.pool())) {
+            if (worker.matchesLabel(step.mSpec)) {
+                long fitting = WorkerSelector.fitCount(capacity.room(), worker.entry().capacity());
+                count +=
+                        capacity.maxPerWorker() > 0
+                                ? Math.min(fitting, capacity.maxPerWorker())
+                                : fitting;
+            }
+        }
+        return count;
     }
 
     /** Returns the urgency of a step at present; 0 is the most urgent. */
@@ -161,7 +206,7 @@
                 .getOrElse(0);
     }
 
-    private void place(Step step, List<Task> tasks, QueuePolicy policy) {
+    private void place(Step step, int tasks, QueuePolicy policy) {
         boolean expired =
                 step.mReservedUntilMillis < mNowMillis && !step.mApprovals.isRequestPending();
         boolean unusable =
@@ -182,8 +227,8 @@
             }
         }
         assign(step, plan(step, tasks, candidates));
-        List<Task> unplaced = admittedTasks(step);
-        if (!unplaced.isEmpty() && !preempt(step, unplaced, candidates) && step.mSpec.gang()) {
+        int unplaced = admittedCount(step);
+        if (unplaced > 0 && !preempt(step, unplaced, candidates) && step.mSpec.gang()) {
             claimWorkers(step, candidates);
         }
     }
@@ -240,7 +285,7 @@
      * Stops tasks of lower priority and reserves their workers for a step. Returns whether the step
      * holds reservations afterwards.
      */
-    boolean preempt(Step step, List<Task> tasks, List<PoolWorker> candidates) {
+    boolean preempt(Step step, int tasks, List<PoolWorker> candidates) {
         if (!step.mReservedTasks.isEmpty()) {
             return true;
         }
@@ -259,7 +304,7 @@
             return false;
         }
         if (mState.mLimits.overload().weighsPreemption()
-                && !preemptionPays(step, tasks.size(), candidates)) {
+                && !preemptionPays(step, tasks, candidates)) {
             return false;
         }
         reserve(step, plan);
@@ -350,18 +395,17 @@
      * being late, starts soon.
      */
     private void claimForecastWorkers(Step step, List<PoolWorker> candidates) {
-        RoomForecast.Start start =
-                mForecast.startOf(step, step.placeableTasks().size(), candidates);
+        RoomForecast.Start start = mForecast.startOf(step, step.mSpec.taskCount(), candidates);
         long untilMillis =
                 Math.max(mState.latestStartMillis(step), mNowMillis + MAX_LATE_CLAIM_MILLIS);
-        if (start.atMillis() <= untilMillis) {
+        if (start.atMillis() != Long.MAX_VALUE && start.atMillis() <= untilMillis) {
             mClaimingGangs++;
             start.workers().forEach(worker -> mClaims.claim(worker, step, start.atMillis()));
         }
     }
 
     /** Chooses workers for tasks within the room that is free now. */
-    Map<Task, PoolWorker> plan(Step step, List<Task> tasks, List<PoolWorker> candidates) {
+    Map<Task, PoolWorker> plan(Step step, int tasks, List<PoolWorker> candidates) {
         if (!step.needsTrial()) {
             return WorkerSelector.select(
                     step,
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -288,18 +288,22 @@
 
     /** Stops the other members of a task's gang, as a gang only runs as a whole. */
     void abortGang(Task task, String reason, long nowMillis) {
-        if (!task.mStep.mSpec.gang()) {
+        Step step = task.mStep;
+        int activeCount = step.count(Task.Phase.RUNNING) + step.count(Task.Phase.PLACED);
+        if (!step.mSpec.gang() || activeCount == (isActive(task) ? 1 : 0)) {
             return;
         }
-        for (Task member : task.mStep.mTasks) {
-            boolean active =
-                    member.mPhase == Task.Phase.RUNNING || member.mPhase == Task.Phase.PLACED;
-            if (!member.equals(task) && active) {
+        for (Task member : step.mTasks) {
+            if (!member.equals(task) && isActive(member)) {
                 stopRun(member, reason, nowMillis);
             }
         }
     }
 
+    private static boolean isActive(Task task) {
+        return task.mPhase == Task.Phase.RUNNING || task.mPhase == Task.Phase.PLACED;
+    }
+
     /**
      * Releases the worker of a task whose run has ended and, unless its workflow has ended, queues
      * it again.
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/QuotaCheck.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/QuotaCheck.java
@@ -2,7 +2,6 @@
 
 import io.vavr.control.Option;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import org.hyssoprouter.internal.workspace.Quota;
 import org.hyssoprouter.lib.Room;
@@ -27,11 +26,11 @@
         mState = state;
     }
 
-    /** Returns those of a step's placeable tasks that its workspace's quota admits now. */
-    List<Task> admit(Step step, List<Task> tasks) {
+    /** Returns how many of a step's placeable tasks its workspace's quota admits now. */
+    int admit(Step step, int tasks) {
         String workspace = step.mWorkflow.mSpec.workspace();
         Option<WorkspacePolicy> policy = mState.mWorkspaces.policyOf(workspace);
-        if (tasks.isEmpty() || policy.isEmpty()) {
+        if (tasks == 0 || policy.isEmpty()) {
             return tasks;
         }
         Room quota = policy.get().quota();
@@ -42,16 +41,16 @@
                         .minus(step.reservedRoom())
                         .plus(mClaims.getOrDefault(workspace, Room.NONE));
         long count = Quota.remainingTasks(size, quota, used);
-        boolean waits = step.mSpec.gang() ? count < tasks.size() : count == 0;
+        boolean waits = step.mSpec.gang() ? count < tasks : count == 0;
         if (!waits) {
-            return count < tasks.size() ? tasks.subList(0, (int) count) : tasks;
+            return (int) Math.min(count, tasks);
         }
         recordWait(step, quota, used);
         step.releaseReservations();
-        if (step.mSpec.gang() && Quota.admits(size, tasks.size(), quota)) {
-            mClaims.putIfAbsent(workspace, WorkerSelector.multiply(size, tasks.size()));
+        if (step.mSpec.gang() && Quota.admits(size, tasks, quota)) {
+            mClaims.putIfAbsent(workspace, WorkerSelector.multiply(size, tasks));
         }
-        return List.of();
+        return 0;
     }
 
     private void recordWait(Step step, Room quota, Room used) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RoomForecast.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RoomForecast.java
@@ -4,8 +4,10 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.hyssoprouter.lib.Room;
 
 /**
@@ -30,7 +32,8 @@
 
     private record ExpectedEnd(long atMillis, Room room) {}
 
-    private record Slot(long atMillis, PoolWorker worker) {}
+    /** Room for some tasks on a worker from a time on. */
+    private record Slots(long atMillis, PoolWorker worker, long count) {}
 
     /**
      * Expected start of a step.
@@ -45,26 +48,29 @@
     Start startOf(Step step, int tasks, List<PoolWorker> candidates) {
         Room room = WorkerSelector.requiredRoom(step.mSpec);
         int maxTasks = step.mSpec.limits().maxPerWorker();
-        List<Slot> slots = new ArrayList<>();
+        List<Slots> slots = new ArrayList<>();
         for (PoolWorker worker : candidates) {
             long limit = maxTasks > 0 ? maxTasks - step.taskCountOn(worker) : tasks;
             addSlots(slots, step, worker, room, Math.min(limit, tasks));
         }
-        if (slots.size() < tasks) {
-            return new Start(Long.MAX_VALUE, List.of());
+        slots.sort(Comparator.comparingLong(Slots::atMillis));
+        Set<PoolWorker> used = new LinkedHashSet<>();
+        long found = 0;
+        for (Slots next : slots) {
+            used.add(next.worker());
+            found += next.count();
+            if (found >= tasks) {
+                return new Start(next.atMillis(), used);
+            }
         }
-        slots.sort(Comparator.comparingLong(Slot::atMillis));
-        List<Slot> used = slots.subList(0, tasks);
-        return new Start(
-                used.get(tasks - 1).atMillis(),
-                used.stream().map(Slot::worker).distinct().toList());
+        return new Start(Long.MAX_VALUE, List.of());
     }
 
-    private void addSlots(List<Slot> slots, Step step, PoolWorker worker, Room room, long limit) {
+    private void addSlots(List<Slots> slots, Step step, PoolWorker worker, Room room, long limit) {
         Room free = worker.freeFor(step);
         long found = Math.min(limit, WorkerSelector.fitCount(room, free));
-        for (long i = 0; i < found; i++) {
-            slots.add(new Slot(mNowMillis, worker));
+        if (found > 0) {
+            slots.add(new Slots(mNowMillis, worker, found));
         }
         for (ExpectedEnd end : mEnds.computeIfAbsent(worker, this::expectedEnds)) {
             if (found >= limit) {
@@ -72,8 +78,9 @@
             }
             free = free.plus(end.room());
             long fitting = Math.min(limit, WorkerSelector.fitCount(room, free));
-            for (; found < fitting; found++) {
-                slots.add(new Slot(end.atMillis(), worker));
+            if (fitting > found) {
+                slots.add(new Slots(end.atMillis(), worker, fitting - found));
+                found = fitting;
             }
         }
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -166,42 +166,49 @@
     }
 
     /**
-     * Returns the tasks that wait for a run and may get one now, at most {@link #MAX_PLACEABLE}.
-     * For a gang, returns none unless all members wait, and then all of them. Of other steps,
-     * suspects run first: their tasks are much alike, and all of them may crash workers.
+     * Returns the number of tasks that wait for a run and may get one now, at most {@link
+     * #MAX_PLACEABLE}. For a gang, returns 0 unless all members wait, and then their number.
      */
-    List<Task> placeableTasks() {
+    int placeableCount() {
         if (mSpec.gang()) {
-            if (count(Task.Phase.WAITING) < mSpec.taskCount()) {
-                return List.of();
-            }
-            createTasks(mSpec.taskCount());
-            return new ArrayList<>(mTasks);
+            return count(Task.Phase.WAITING) < mSpec.taskCount() ? 0 : mSpec.taskCount();
         }
-        List<Task> waiting = new ArrayList<>();
-        List<Task> suspects = new ArrayList<>();
+        int suspects = 0;
         boolean hasTrials = false;
         for (Task task : openTasks()) {
-            if (task.mPhase == Task.Phase.WAITING) {
-                waiting.add(task);
-                if (task.isSuspect()) {
-                    suspects.add(task);
-                }
-            }
+            suspects += task.mPhase == Task.Phase.WAITING && task.isSuspect() ? 1 : 0;
             hasTrials |= task.isOnTrial();
         }
-        if (!suspects.isEmpty() || hasTrials) {
-            return firstOf(suspects);
+        boolean onlySuspects = suspects > 0 || hasTrials;
+        return Math.min(MAX_PLACEABLE, onlySuspects ? suspects : count(Task.Phase.WAITING));
+    }
+
+    /**
+     * Returns the first of the placeable tasks. Of steps that are no gangs, suspects run first:
+     * their tasks are much alike, and all of them may crash workers.
+     *
+     * @param limit number of tasks that there is room for, which are needed from now on
+     */
+    List<Task> placeableTasks(int limit) {
+        int count = Math.min(limit, placeableCount());
+        boolean onlySuspects = !mSpec.gang() && count > 0 && hasWaitingSuspects();
+        List<Task> tasks = new ArrayList<>(count);
+        for (Task task : openTasks()) {
+            if (tasks.size() == count) {
+                return tasks;
+            }
+            if (task.mPhase == Task.Phase.WAITING && (!onlySuspects || task.isSuspect())) {
+                tasks.add(task);
+            }
         }
-        int missing = Math.min(MAX_PLACEABLE, count(Task.Phase.WAITING)) - waiting.size();
-        for (int i = 0; i < missing; i++) {
-            waiting.add(task(mDoneBelow + mTasks.size()));
+        while (tasks.size() < count) {
+            tasks.add(task(mDoneBelow + mTasks.size()));
         }
-        return firstOf(waiting);
+        return tasks;
     }
 
-    private static List<Task> firstOf(List<Task> tasks) {
-        return tasks.subList(0, Math.min(MAX_PLACEABLE, tasks.size()));
+    private boolean hasWaitingSuspects() {
+        return waitingCrashes() > 0;
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/TrialPlacement.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/TrialPlacement.java
@@ -49,11 +49,12 @@
     /**
      * Selects workers for tasks that may have crashed a worker.
      *
+     * @param limit maximum number of tasks to place
      * @param candidates workers that accept the step
      * @param pool all workers of the pool that receive new runs
      */
     static Map<Task, PoolWorker> select(
-            Step step, List<Task> tasks, List<PoolWorker> candidates, List<PoolWorker> pool) {
+            Step step, int limit, List<PoolWorker> candidates, List<PoolWorker> pool) {
         boolean separate = step.waitingCrashes() >= SEPARATE_TRIAL_CRASHES;
         boolean mayUseFurther = mayUseFurther(pool, 0);
         List<PoolWorker> usable =
@@ -62,7 +63,7 @@
                         .filter(it -> !separate || it.countRecentRuns(step) == 0)
                         .toList();
         return WorkerSelector.select(
-                step, tasks, usable, worker -> worker.freeFor(step), WorkerRanking.NONE);
+                step, limit, usable, worker -> worker.freeFor(step), WorkerRanking.NONE);
     }
 
     /**
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerSelector.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/WorkerSelector.java
@@ -11,7 +11,6 @@
 import java.util.function.Function;
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.StepSpec;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Selects workers for the tasks of a step. Prefers the rack that holds the data, then, for steps
@@ -37,21 +36,24 @@
      * Selects a worker for each task that fits on one. For a gang, selects workers for all tasks or
      * for none.
      *
+     * @param limit maximum number of tasks to place; of a gang, the number of its members
      * @param freeRoom returns the room of a worker that the tasks may use
      * @param ranking preference among the workers with room
      */
     static Map<Task, PoolWorker> select(
             Step step,
-            List<Task> tasks,
+            int limit,
             List<PoolWorker> workers,
             Function<PoolWorker, Room> freeRoom,
             WorkerRanking ranking) {
         Map<PoolWorker, Integer> slots = new LinkedHashMap<>();
+        long slotCount = 0;
         for (Candidate candidate : candidates(step, workers, freeRoom, ranking)) {
             slots.put(candidate.worker(), candidate.slots());
+            slotCount += candidate.slots();
         }
         Map<Task, PoolWorker> plan = new LinkedHashMap<>();
-        if (slots.isEmpty()) {
+        if (slots.isEmpty() || (step.mSpec.gang() && slotCount < limit)) {
             return plan;
         }
         Set<PoolWorker> unused = new LinkedHashSet<>();
@@ -60,45 +62,33 @@
                     .filter(worker -> step.taskCountOn(worker) == 0)
                     .forEach(unused::add);
         }
-        for (Task task : tasks) {
+        for (Task task : step.placeableTasks((int) Math.min(limit, slotCount))) {
             PoolWorker chosen = chooseWorker(task, slots, unused);
-            if (chosen == null) {
-                if (step.mSpec.gang()) {
-                    return Map.of();
-                }
-                continue;
-            }
             unused.remove(chosen);
             plan.put(task, chosen);
-            slots.merge(chosen, -1, Integer::sum);
+            slots.computeIfPresent(chosen, (worker, count) -> count > 1 ? count - 1 : null);
         }
         return plan;
     }
 
     /**
-     * Returns the first worker with a free slot, preferring those without a task of a step whose
-     * tasks slow down each other, then those on which the task has not failed.
+     * Returns the first worker with a free slot, of which there must be one, preferring those
+     * without a task of a step whose tasks slow down each other, then those on which the task has
+     * not failed.
      */
-    private static @Nullable PoolWorker chooseWorker(
+    private static PoolWorker chooseWorker(
             Task task, Map<PoolWorker, Integer> slots, Set<PoolWorker> unused) {
         for (PoolWorker worker : unused) {
             if (!task.mFailedWorkers.contains(worker.mId)) {
                 return worker;
             }
         }
-        PoolWorker fallback = null;
-        for (Map.Entry<PoolWorker, Integer> entry : slots.entrySet()) {
-            if (entry.getValue() <= 0) {
-                continue;
-            }
-            if (!task.mFailedWorkers.contains(entry.getKey().mId)) {
-                return entry.getKey();
-            }
-            if (fallback == null) {
-                fallback = entry.getKey();
+        for (PoolWorker worker : slots.keySet()) {
+            if (!task.mFailedWorkers.contains(worker.mId)) {
+                return worker;
             }
         }
-        return fallback;
+        return slots.keySet().iterator().next();
     }
 
     private static List<Candidate> candidates(
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkerSelectorTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkerSelectorTest.java
@@ -64,7 +64,7 @@
         Map<String, Integer> counts = new TreeMap<>();
         WorkerSelector.select(
                         step,
-                        step.placeableTasks(),
+                        step.placeableCount(),
                         workers,
                         worker -> worker.freeFor(step),
                         mRanking)
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkflowPartsTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WorkflowPartsTest.java
@@ -184,7 +184,7 @@
         assertEquals(100_000, step.count(Task.Phase.DONE));
         assertEquals(Integer.MAX_VALUE - 100_000, step.count(Task.Phase.WAITING));
         assertNull(step.heldTask(5));
-        assertEquals(100_000, step.placeableTasks().get(0).mKey.index());
+        assertEquals(100_000, step.placeableTasks(1).get(0).mKey.index());
     }
 
     // Guards against parts that are too large for a row.
