Leave starts to the workflows with the fewest runs

What callers would see: a job with millions of tasks that was accepted first takes all starts of each round, as only 256 may be unanswered at a time, and those of each commit; small jobs stand beside a half-empty pool. And a round tries all waiting steps, however many there are.

Change: of the 256 unanswered starts 64, and of the workflows with starts in a commit ten, are left for the workflows with the fewest runs if those that come first have tasks for all of them. Without others, a wide job gets these, too. A round looks at no more than 300,000 workers, those of each step anew; the steps that it does not try are those of the next round, until all were tried. A step makes the name of its kind when it is needed.

--- a/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RoundLimiter.java
+++ b/org.hyssoprouter.daemon/src/main/java/org/hyssoprouter/daemon/workflow/RoundLimiter.java
@@ -19,6 +19,12 @@
      */
     static final long PLACEMENT_LEAD_MILLIS = 200;
 
+    /** Number of these that are reserved for the workflows with the fewest runs. */
+    private static final int RESERVED_STARTS = 64;
+
+    /** Number of workflows with starts in a commit that are reserved for them. */
+    private static final int RESERVED_WORKFLOWS = 10;
+
     private final OwnerCommitter mCommitter;
     private final RunDispatcher mRunDispatcher;
     private final ApprovalDispatcher mApprovalDispatcher;
@@ -43,6 +49,7 @@
                 mCommitter.remainingStartingWorkflows(),
                 Math.max(0, MAX_UNANSWERED_STARTS - unanswered),
                 calls.shortCalls(),
-                calls.longCalls());
+                calls.longCalls(),
+                new RoundLimits.Reserved(RESERVED_WORKFLOWS, RESERVED_STARTS));
     }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -44,6 +44,12 @@
     /** Longest expected time for which a late gang claims workers: that of a short task. */
     static final long MAX_LATE_CLAIM_MILLIS = 1_000;
 
+    /**
+     * Number of workers, those of all tried steps together, that a round looks at. The steps that
+     * it does not try are those of the next round.
+     */
+    static final int MAX_VISITED_WORKERS = 300_000;
+
     /** Largest share of a pool that is left out because it is slow. */
     static final double MAX_SLOW_SHARE = 0.25;
 
@@ -73,6 +79,16 @@
     private int mStartingSteps;
     private int mStartedRuns;
 
+    /** Numbers of starting steps and of runs at which no further ones are started at present. */
+    private int mMaxSteps;
+
+    private int mMaxRuns;
+
+    /** Steps with more tasks than they were allowed to start. */
+    private final List<QueuedStep> mCutSteps = new ArrayList<>();
+
+    private long mVisitedWorkers;
+
     PlacementRound(PoolState state, RoundLimits limits, long nowMillis) {
         mState = state;
         mLimits = limits;
@@ -123,8 +139,43 @@
     /** Runs the round. */
     void run() {
         mState.mDurations.beginRound();
+        PriorityQueue<QueuedStep> queue = untriedSteps();
+        if (queue.isEmpty() && !mState.mTriedSteps.isEmpty()) {
+            mState.mTriedSteps.clear();
+            queue = untriedSteps();
+        }
+        mMaxSteps = mLimits.unreservedSteps();
+        mMaxRuns = mLimits.unreservedRuns();
+        Set<Step> tried = new HashSet<>();
+        while (!queue.isEmpty() && mayStart() && mVisitedWorkers < MAX_VISITED_WORKERS) {
+            QueuedStep queued = queue.remove();
+            if (tryPlace(queued, mMaxRuns)) {
+                tried.add(queued.step());
+            } else {
+                queue.add(queued.atLevel(mShares.levelOf(queued.step())));
+            }
+        }
+        if (queue.isEmpty()) {
+            mState.mTriedSteps.clear();
+        }
+        if (queue.isEmpty() && mCutSteps.isEmpty()) {
+            return;
+        }
+        if (mVisitedWorkers >= MAX_VISITED_WORKERS) {
+            mState.mTriedSteps.addAll(tried);
+        } else {
+            mCutSteps.addAll(queue);
+            placeReserved(mCutSteps);
+        }
+    }
+
+    /** Returns the waiting steps that no round has tried since all of them were tried last. */
+    private PriorityQueue<QueuedStep> untriedSteps() {
         PriorityQueue<QueuedStep> queue = new PriorityQueue<>();
         for (Step step : mState.mWaitingSteps) {
+            if (mState.mTriedSteps.contains(step)) {
+                continue;
+            }
             for (QueuePolicy policy : mState.placementPolicyOf(step.mWorkflow)) {
                 queue.add(
                         new QueuedStep(
@@ -136,29 +187,66 @@
                                 queue.size()));
             }
         }
-        while (!queue.isEmpty()) {
-            if (mStartingSteps >= mLimits.steps() || mStartedRuns >= mLimits.runs()) {
+        return queue;
+    }
+
+    /**
+     * Starts tasks of the workflows with the fewest runs. Those before them have more tasks to
+     * start than the round may start.
+     */
+    private void placeReserved(List<QueuedStep> queue) {
+        mMaxSteps = mLimits.steps();
+        mMaxRuns = mLimits.runs();
+        int runsPerStep = Math.max(1, (mMaxRuns - mStartedRuns) / queue.size());
+        queue.sort(
+                Comparator.comparingInt((QueuedStep it) -> it.step().mWorkflow.activeRuns())
+                        .thenComparing(Comparator.naturalOrder()));
+        for (QueuedStep queued : List.copyOf(queue)) {
+            if (!mayStart() || mVisitedWorkers >= MAX_VISITED_WORKERS) {
                 return;
             }
-            QueuedStep queued = queue.remove();
-            Step step = queued.step();
-            int shareLevel = mShares.levelOf(step);
-            if (shareLevel > queued.shareLevel()) {
-                // Earlier steps of its workspace have started in this round.
-                queue.add(queued.atLevel(shareLevel));
-                continue;
-            }
-            if (isTooWide(step, queued.policy().pool())) {
-                step.releaseReservations();
-                continue;
-            }
-            int tasks = admittedCount(step);
-            if (tasks > 0) {
-                place(step, tasks, queued.policy());
-            } else if (step.count(Task.Phase.WAITING) == 0) {
-                mState.removeWaiting(step);
+            tryPlace(queued, runsPerStep);
+        }
+    }
+
+    private boolean mayStart() {
+        return mStartingSteps < mMaxSteps && mStartedRuns < mMaxRuns;
+    }
+
+    /**
+     * Places tasks of a step.
+     *
+     * @param maxRuns maximum number of runs to start, unless the tasks form a gang
+     * @return false if its workspace has come to another level, as earlier steps have started
+     */
+    private boolean tryPlace(QueuedStep queued, int maxRuns) {
+        Step step = queued.step();
+        if (mShares.levelOf(step) > queued.shareLevel()) {
+            return false;
+        }
+        if (isTooWide(step, queued.policy().pool())) {
+            step.releaseReservations();
+            return true;
+        }
+        int tasks = admittedCount(step);
+        int limit = Math.min(maxRuns, mMaxRuns - mStartedRuns);
+        if (tasks > limit && !step.mSpec.gang()) {
+            int maxStarted = mStartedRuns + limit;
+            place(step, limit, queued.policy());
+            if (mStartedRuns == maxStarted) {
+                mCutSteps.add(queued);
             }
+        } else if (tasks > 0) {
+            place(step, tasks, queued.policy());
+        } else if (step.count(Task.Phase.WAITING) == 0) {
+            mState.removeWaiting(step);
         }
+        return true;
+    }
+
+    /** Returns the number of workers that the round has looked at, those of each step anew. */
+    long visitedWorkers() {
+        return mVisitedWorkers;
     }
 
     /** Returns how many tasks of a step may be placed now within the quota of its workspace. */
@@ -216,6 +304,7 @@
             step.releaseReservations();
         }
         List<PoolWorker> workers = schedulableWorkers(policy.pool());
+        mVisitedWorkers += workers.size();
         if (policy.approval().isDefined()) {
             mApprovedPlacement.place(step, tasks, policy, policy.approval().get());
             return;
@@ -226,9 +315,14 @@
                 candidates.add(worker);
             }
         }
-        assign(step, plan(step, tasks, candidates));
+        Map<Task, PoolWorker> plan = plan(step, tasks, candidates);
+        assign(step, plan);
         int unplaced = admittedCount(step);
-        if (unplaced > 0 && !preempt(step, unplaced, candidates) && step.mSpec.gang()) {
+        boolean hadRoomForAll = plan.size() == tasks;
+        if (unplaced > 0
+                && !hadRoomForAll
+                && !preempt(step, unplaced, candidates)
+                && step.mSpec.gang()) {
             claimWorkers(step, candidates);
         }
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -2,6 +2,7 @@
 
 import io.vavr.control.Option;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
@@ -41,6 +42,9 @@
     /** Steps whose predecessors are done and that have tasks without a run. */
     final Set<Step> mWaitingSteps = new LinkedHashSet<>();
 
+    /** Waiting steps that earlier rounds have tried to place since all of them were tried last. */
+    final Set<Step> mTriedSteps = new HashSet<>();
+
     final SchedulerOutput mOutput = new SchedulerOutput();
     final ProgressLearner mProgress;
     final PreemptionBudget mPreemptionBudget = new PreemptionBudget();
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ProgressLearner.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/ProgressLearner.java
@@ -54,7 +54,8 @@
         int[] counts = new int[TaskKinds.MAX_KINDS];
         List<Task> tasks = worker.tasks();
         for (Task task : tasks) {
-            int kind = isActive(task) ? mKinds.assign(task.mStep.mKind, nowMillis) : TaskKinds.NONE;
+            int kind =
+                    isActive(task) ? mKinds.assign(task.mStep.kind(), nowMillis) : TaskKinds.NONE;
             if (kind != TaskKinds.NONE) {
                 counts[kind]++;
             }
@@ -67,7 +68,7 @@
         for (Task task : tasks) {
             RunObservation observation = task.mObservation;
             if (observation != null && isActive(task)) {
-                observation.accrue(counts, mKinds.find(task.mStep.mKind), nowMillis);
+                observation.accrue(counts, mKinds.find(task.mStep.kind()), nowMillis);
             }
         }
     }
@@ -108,7 +109,7 @@
 
     private void record(
             PoolWorker worker, Task task, RunObservation observation, int percent, long nowMillis) {
-        int kind = mKinds.find(task.mStep.mKind);
+        int kind = mKinds.find(task.mStep.kind());
         boolean current = observation.generation() == mGeneration;
         if (observation.isUsed() || !current || kind == TaskKinds.NONE) {
             return;
@@ -159,7 +160,7 @@
             return WorkerRanking.NONE;
         }
         boolean gang = step.mSpec.gang();
-        int kind = apart ? mKinds.find(step.mKind) : TaskKinds.NONE;
+        int kind = apart ? mKinds.find(step.kind()) : TaskKinds.NONE;
         return new WorkerRanking() {
             @Override
             public int cost(PoolWorker worker) {
@@ -188,7 +189,7 @@
             int other =
                     task.mPhase == Task.Phase.STOPPING
                             ? TaskKinds.NONE
-                            : mKinds.find(task.mStep.mKind);
+                            : mKinds.find(task.mStep.kind());
             if (other == TaskKinds.NONE) {
                 continue;
             }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -39,16 +39,13 @@
     /** Position in {@link #mTasks} before which all tasks are done and have no room. */
     private int mFirstOpen;
 
-    /** Name of the kind of the tasks, by which their progress is compared. */
-    final String mKind;
-
     final StepApprovals mApprovals = new StepApprovals();
 
     /** Number of tasks for which room is reserved, by worker. */
     final Map<PoolWorker, Integer> mReservedTasks = new HashMap<>();
 
     /** End of the exclusion of the workers on which a run of this step stalled. */
-    private final Map<String, Long> mStalledUntilMillis = new HashMap<>();
+    private Map<String, Long> mStalledUntilMillis = Map.of();
 
     /** Cause for which no task was stopped for this step last, or null. */
     OverloadCounts.@Nullable Cause mForgonePreemption;
@@ -72,7 +69,11 @@
         mWorkflow = workflow;
         mKey = key;
         mSpec = spec;
-        mKind = TaskKinds.nameOf(workflow.mSpec.queue(), spec);
+    }
+
+    /** Returns the name of the kind of the tasks, by which their progress is compared. */
+    String kind() {
+        return mWorkflow.kindOf(mKey.step());
     }
 
     /** Returns the number of leading tasks that are done and are not held any more. */
@@ -140,6 +141,7 @@
     void onPhaseChanged(Task.Phase from, Task.Phase to) {
         mCounts.merge(from, -1, Integer::sum);
         mCounts.merge(to, 1, Integer::sum);
+        mWorkflow.countActiveRuns((to.isActive() ? 1 : 0) - (from.isActive() ? 1 : 0));
     }
 
     boolean isDone() {
@@ -260,6 +262,9 @@
 
     /** Excludes a worker on which a run stalled from new runs of this step until a time. */
     void excludeStalled(String worker, long untilMillis) {
+        if (mStalledUntilMillis.isEmpty()) {
+            mStalledUntilMillis = new HashMap<>();
+        }
         mStalledUntilMillis.put(worker, untilMillis);
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Task.java
@@ -119,7 +119,12 @@
         /** A previous owner started the run; its worker has not reported yet. */
         INHERITED,
         /** The task is complete. */
-        DONE
+        DONE;
+
+        /** Returns whether the current run is active or may become so. */
+        boolean isActive() {
+            return this != WAITING && this != DONE;
+        }
     }
 
     /** Marks the current run as running with unknown progress. */
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
@@ -26,11 +26,17 @@
     /** Whether a worker has begun a run. The state is ACTIVE as soon as a start is decided. */
     boolean mBegun;
 
+    /** Number of tasks whose current run is active or may become so. */
+    private int mActiveRuns;
+
     /** Whether no task is placed because the row of the workflow cannot be stored. */
     boolean mHeld;
 
     String mReason = "";
 
+    /** Kinds of the tasks of the steps that have run so far. */
+    private final Map<Integer, String> mKinds = new HashMap<>();
+
     private @Nullable StepGraph mGraph;
 
     /** Expected time to the end by step; null until it is needed. */
@@ -53,6 +59,12 @@
         return mGraph;
     }
 
+    /** Returns the name of the kind of a step's tasks. */
+    String kindOf(int step) {
+        return mKinds.computeIfAbsent(
+                step, it -> TaskKinds.nameOf(mSpec.queue(), mSpec.steps().get(it)));
+    }
+
     /** Returns the steps that depend on no other one. */
     int[] roots() {
         return graph().readySteps(new BitSet());
@@ -77,6 +89,15 @@
         return mQueuedCounts.getOrDefault(step, 0);
     }
 
+    void countActiveRuns(int difference) {
+        mActiveRuns += difference;
+    }
+
+    /** Returns the number of tasks whose current run is active or may become so. */
+    int activeRuns() {
+        return mActiveRuns;
+    }
+
     /** Returns whether a former owner has ordered a run whose worker has not reported since. */
     boolean hasInheritedRuns() {
         return heldSteps().stream().anyMatch(step -> step.count(Task.Phase.INHERITED) > 0);
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
@@ -6,8 +6,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.stream.IntStream;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
+import org.hyssoprouter.lib.workflow.RunReport;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -55,4 +59,89 @@
                         .count();
         assertEquals(count, complete);
     }
+
+    private static PoolScheduler schedulerOf(int workers, long cpuMillis) {
+        PoolScheduler scheduler = TestPools.newOwner(0);
+        for (int i = 0; i < workers; i++) {
+            scheduler.updateWorker(TestPools.worker("w" + i, 1, cpuMillis), 0);
+            scheduler.handleReport("w" + i, new RunReport(0, 1, List.of(), List.of()), 0, 0);
+        }
+        return scheduler;
+    }
+
+    private static Set<String> startedIn(PoolScheduler scheduler, RoundLimits limits, int rounds) {
+        Set<String> started = new TreeSet<>();
+        for (int round = 0; round < rounds; round++) {
+            scheduler.place(limits, 10);
+            scheduler
+                    .output()
+                    .takeStarts()
+                    .forEach(start -> started.add(start.task().step().workflow()));
+        }
+        return started;
+    }
+
+    // Guards against jobs with millions of tasks that take all starts of each round, so that small
+    // ones wait beside free workers. Each round has as many starts as were answered since the last
+    // one.
+    @Test
+    void smallWorkStartsBesideWorkWithMillionsOfTasks() {
+        PoolScheduler scheduler = schedulerOf(10, 1_000_000);
+        for (int i = 0; i < 50; i++) {
+            scheduler.addWorkflow(
+                    workflow("wide" + i, TestPools.QUEUE, step(5_000_000, 1, 500, false)), 0);
+        }
+        for (int i = 0; i < 20; i++) {
+            scheduler.addWorkflow(
+                    workflow("small" + i, TestPools.QUEUE, step(1, 1_000, 500, false)), 1);
+        }
+        RoundLimits limits = new RoundLimits(5, 20, 0, 0, new RoundLimits.Reserved(10, 64));
+        Set<String> started = startedIn(scheduler, limits, 20);
+        assertEquals(20, started.stream().filter(it -> it.startsWith("small")).count());
+        assertEquals(50, started.stream().filter(it -> it.startsWith("wide")).count());
+    }
+
+    // Guards against starts that are left unused as they are reserved for others.
+    @Test
+    void singleWideStepGetsAllStarts() {
+        PoolScheduler scheduler = schedulerOf(10, 1_000_000);
+        scheduler.addWorkflow(workflow("a", TestPools.QUEUE, step(5_000_000, 1, 500, false)), 0);
+        scheduler.place(new RoundLimits(42, 200, 0, 0, new RoundLimits.Reserved(10, 64)), 10);
+        assertEquals(200, scheduler.output().takeStarts().size());
+    }
+
+    // Guards against rounds whose time grows with the work that has no room: other daemons then
+    // take
+    // the owner for dead.
+    @Test
+    void roundLooksAtABoundedNumberOfWorkers() {
+        PoolState state = new PoolState(SimulatedPool.LIMITS, 0, ObjectiveOrder::new);
+        state.configure(TestPools.config(2));
+        int workers = 100;
+        for (int i = 0; i < workers; i++) {
+            PoolWorker worker = new PoolWorker(TestPools.worker("w" + i, 1), SimulatedPool.LIMITS);
+            worker.mListed = true;
+            worker.beginIncarnation(1, 0);
+            worker.mLastReportMillis = 0;
+            worker.mClock.recordReading(0, 0);
+            state.mWorkers.put(worker.mId, worker);
+        }
+        int waiting = 10_000;
+        for (int i = 0; i <= waiting; i++) {
+            boolean fits = i == waiting;
+            WorkflowSpec spec =
+                    workflow("a" + i, TestPools.QUEUE, step(1, fits ? 1_000 : 5_000, 500, false));
+            Workflow workflow = new Workflow(spec, i);
+            state.addWorkflow(workflow);
+            state.queueReadySteps(workflow.mOccurrences.open(0), workflow.roots(), 0);
+        }
+        int rounds = 0;
+        while (state.mOutput.takeStarts().isEmpty()) {
+            PlacementRound round = new PlacementRound(state, RoundLimits.NONE, 10);
+            round.run();
+            assertTrue(round.visitedWorkers() <= PlacementRound.MAX_VISITED_WORKERS + workers);
+            rounds++;
+            assertTrue(rounds <= 4, "started in round " + rounds);
+        }
+    }
 }
