Bound the steps that wait for a run at a time

Cause: all steps whose turn had come were objects and were ranked in each round.

The others are bits; they take their place as steps start. Steps that have found no room give their place to the next ones, so that each is tried. Among the workflows with the fewest runs, those that have not begun get the reserved starts first.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Occurrence.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Occurrence.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.IntPredicate;
 import org.hyssoprouter.lib.workflow.StepKey;
 import org.jspecify.annotations.Nullable;
 
@@ -22,6 +23,9 @@
     /** Steps whose turn has come, but that are not queued yet. */
     private final BitSet mDeferred = new BitSet();
 
+    /** Number from which the deferred steps are queued next. */
+    private int mNextDeferred;
+
     /**
      * Creates an occurrence without held steps.
      *
@@ -83,18 +87,43 @@
 
     /** Records that a step whose turn has come is to be queued later. */
     void defer(int step) {
+        if (mDeferred.isEmpty()) {
+            mNextDeferred = step;
+        }
         mDeferred.set(step);
     }
 
+    /** Forgets the steps that are to be queued later. */
+    void clearDeferred() {
+        mDeferred.clear();
+    }
+
     boolean hasDeferred() {
         return !mDeferred.isEmpty();
     }
 
-    /** Removes and returns the steps whose turn has come, but that are not queued yet. */
-    List<Integer> takeDeferred() {
+    /**
+     * Removes the deferred steps that may be queued now from these, and returns them. Begins with
+     * the ones after those that were returned last.
+     *
+     * @param mayQueue returns whether a step may be queued, in addition to those before
+     * @param isLast whether no further step may be queued if one may not
+     */
+    List<Integer> takeDeferred(IntPredicate mayQueue, boolean isLast) {
         List<Integer> steps = new ArrayList<>();
-        mDeferred.stream().forEach(steps::add);
-        mDeferred.clear();
+        int remaining = mDeferred.cardinality();
+        int step = mDeferred.nextSetBit(mNextDeferred);
+        for (; remaining > 0; remaining--) {
+            step = step < 0 ? mDeferred.nextSetBit(0) : step;
+            if (mayQueue.test(step)) {
+                mDeferred.clear(step);
+                mNextDeferred = step + 1;
+                steps.add(step);
+            } else if (isLast) {
+                break;
+            }
+            step = mDeferred.nextSetBit(step + 1);
+        }
         return steps;
     }
 }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/OccurrenceOpener.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/OccurrenceOpener.java
@@ -7,12 +7,6 @@
  * schedule then costs a number, not steps and tasks, however late it is and whatever may run.
  */
 final class OccurrenceOpener {
-    /** Number of steps of all schedules together that may wait for a run. */
-    private static final int MAX_QUEUED_STEPS = 1_024;
-
-    /** Number of occurrences of one schedule that may wait for a step. */
-    private static final int MAX_QUEUED_OCCURRENCES = 128;
-
     private final PoolState mState;
     private final Workflow mWorkflow;
     private final long mNowMillis;
@@ -23,19 +17,9 @@
         mNowMillis = nowMillis;
     }
 
-    /** Returns the number of occurrences of a schedule that may wait for one of its steps. */
-    static int maxQueued(int scheduleCount, int stepCount) {
-        long share = MAX_QUEUED_STEPS / Math.max(1, (long) scheduleCount * stepCount);
-        return (int) Math.max(1, Math.min(MAX_QUEUED_OCCURRENCES, share));
-    }
-
-    /** Opens occurrences: first those that have begun, then others in order. */
+    /** Opens occurrences: first suspended ones, then others in order. */
     void open() {
         Occurrences occurrences = mWorkflow.mOccurrences;
-        for (Occurrence occurrence : occurrences.takeDeferring()) {
-            int[] steps = occurrence.takeDeferred().stream().mapToInt(it -> it).toArray();
-            mState.queueReadySteps(occurrence, steps, mNowMillis);
-        }
         for (Occurrences.Suspended group : occurrences.suspended()) {
             while (!group.numbers().isEmpty() && mState.mayQueueAny(mWorkflow, group.ready())) {
                 Occurrence occurrence = occurrences.resume(group);
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Occurrences.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Occurrences.java
@@ -1,14 +1,11 @@
 package org.hyssoprouter.internal.workflow;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 
@@ -21,9 +18,6 @@
     private final Workflow mWorkflow;
     private final TreeMap<Integer, Occurrence> mOpen = new TreeMap<>();
 
-    /** Open occurrences with steps whose turn has come, but that are not queued yet. */
-    private final Set<Occurrence> mDeferring = new LinkedHashSet<>();
-
     /** Suspended occurrences by the steps that are done. */
     private final Map<BitSet, Suspended> mSuspended = new LinkedHashMap<>();
 
@@ -95,7 +89,7 @@
 
     private void close(Occurrence occurrence) {
         mOpen.remove(occurrence.mNumber, occurrence);
-        mDeferring.remove(occurrence);
+        occurrence.clearDeferred();
     }
 
     /** Suspends an occurrence of a schedule if none of its steps waits or runs. */
@@ -126,18 +120,6 @@
         return open(number, group.done());
     }
 
-    /** Records that an open occurrence has steps that are to be queued later. */
-    void addDeferring(Occurrence occurrence) {
-        mDeferring.add(occurrence);
-    }
-
-    /** Removes and returns the open occurrences with steps that are to be queued later. */
-    List<Occurrence> takeDeferring() {
-        List<Occurrence> occurrences = new ArrayList<>(mDeferring);
-        mDeferring.clear();
-        return occurrences;
-    }
-
     /** Records how many occurrences are due, in the order of their numbers. */
     void setDueCount(long count) {
         mDueCount = count;
@@ -228,7 +210,6 @@
     /** Lets go of all that a workflow in a terminal state does not need: steps without room. */
     void releaseEnded() {
         mSuspended.clear();
-        mDeferring.clear();
         for (Occurrence occurrence : List.copyOf(mOpen.values())) {
             List.copyOf(occurrence.steps()).stream()
                     .filter(step -> !step.hasRoom())
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -200,6 +200,7 @@
         int runsPerStep = Math.max(1, (mMaxRuns - mStartedRuns) / queue.size());
         queue.sort(
                 Comparator.comparingInt((QueuedStep it) -> it.step().mWorkflow.activeRuns())
+                        .thenComparing(it -> it.step().mWorkflow.mBegun)
                         .thenComparing(Comparator.naturalOrder()));
         for (QueuedStep queued : List.copyOf(queue)) {
             if (!mayStart() || mVisitedWorkers >= MAX_VISITED_WORKERS) {
@@ -226,14 +227,15 @@
         }
         if (isTooWide(step, queued.policy().pool())) {
             step.releaseReservations();
+            step.mHasWaitedForRoom = true;
             return true;
         }
         int tasks = admittedCount(step);
         int limit = Math.min(maxRuns, mMaxRuns - mStartedRuns);
+        int formerRuns = mStartedRuns;
         if (tasks > limit && !step.mSpec.gang()) {
-            int maxStarted = mStartedRuns + limit;
             place(step, limit, queued.policy());
-            if (mStartedRuns == maxStarted) {
+            if (mStartedRuns == formerRuns + limit) {
                 mCutSteps.add(queued);
             }
         } else if (tasks > 0) {
@@ -241,6 +243,7 @@
         } else if (step.count(Task.Phase.WAITING) == 0) {
             mState.removeWaiting(step);
         }
+        step.mHasWaitedForRoom = mStartedRuns == formerRuns;
         return true;
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolScheduler.java
@@ -392,7 +392,7 @@
     /** Places waiting tasks for which workers have room, the most urgent first, within limits. */
     public void place(RoundLimits limits, long nowMillis) {
         mAttempts.endExhausted(nowMillis);
-        mState.openDueOccurrences(nowMillis);
+        mState.queueDeferred(nowMillis);
         new PlacementRound(mState, limits, nowMillis).run();
     }
 
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Function;
@@ -37,6 +38,11 @@
     /** Workflows with a schedule that are not in a terminal state. */
     final Set<Workflow> mScheduled = new LinkedHashSet<>();
 
+    /** Open occurrences with steps whose turn has come, but that are not queued yet. */
+    private final Set<Occurrence> mDeferring = new LinkedHashSet<>();
+
+    private int mUnfinishedCount;
+
     final Map<String, PoolWorker> mWorkers = new LinkedHashMap<>();
 
     /** Steps whose predecessors are done and that have tasks without a run. */
@@ -164,7 +170,11 @@
     /** Adds a workflow. */
     void addWorkflow(Workflow workflow) {
         mWorkflows.put(workflow.id(), workflow);
-        if (workflow.mSpec.hasSchedule() && !workflow.mState.isFinal()) {
+        if (workflow.mState.isFinal()) {
+            return;
+        }
+        mUnfinishedCount++;
+        if (workflow.mSpec.hasSchedule()) {
             mScheduled.add(workflow);
         }
     }
@@ -207,6 +217,7 @@
         workflow.mState = state;
         workflow.mReason = reason;
         mScheduled.remove(workflow);
+        mUnfinishedCount--;
         for (Step step : workflow.heldSteps()) {
             removeWaiting(step);
             step.releaseReservations();
@@ -227,47 +238,86 @@
     /** Removes a step from the waiting steps. */
     void removeWaiting(Step step) {
         if (mWaitingSteps.remove(step)) {
+            mTriedSteps.remove(step);
             step.mWorkflow.countQueued(step, -1);
         }
     }
 
     /**
-     * Adds steps of an occurrence whose turn has come to the waiting steps. If enough occurrences
-     * of a schedule wait for a step, it is added later.
+     * Adds steps of an occurrence whose turn has come to the waiting steps. If enough others of its
+     * workflow wait, they are added later.
      */
     void queueReadySteps(Occurrence occurrence, int[] ready, long nowMillis) {
-        Workflow workflow = occurrence.mWorkflow;
-        if (workflow.mState.isFinal()) {
+        if (occurrence.mWorkflow.mState.isFinal()) {
             return;
         }
         for (int number : ready) {
-            if (occurrence.step(number) == null && !mayQueue(workflow, number)) {
+            if (occurrence.step(number) != null || mayQueue(occurrence.mWorkflow, number)) {
+                queue(occurrence, number, nowMillis);
+            } else {
                 occurrence.defer(number);
-                continue;
-            }
-            Step step = occurrence.hold(number);
-            addWaiting(step);
-            if (step.mReadyMillis < 0) {
-                step.mReadyMillis = nowMillis;
             }
         }
         if (occurrence.hasDeferred()) {
-            workflow.mOccurrences.addDeferring(occurrence);
+            mDeferring.add(occurrence);
+        }
+    }
+
+    private void queue(Occurrence occurrence, int number, long nowMillis) {
+        Step step = occurrence.hold(number);
+        addWaiting(step);
+        if (step.mReadyMillis < 0) {
+            step.mReadyMillis = nowMillis;
         }
     }
 
     private boolean mayQueue(Workflow workflow, int step) {
-        return !workflow.mSpec.hasSchedule()
-                || workflow.queuedCount(step)
-                        < OccurrenceOpener.maxQueued(
-                                mScheduled.size(), workflow.mSpec.steps().size());
+        int stepCount = workflow.mSpec.steps().size();
+        return workflow.mSpec.hasSchedule()
+                ? workflow.queuedCount(step) < QueueLimits.occurrences(mScheduled.size(), stepCount)
+                : workflow.queuedCount() < QueueLimits.steps(mUnfinishedCount);
     }
 
-    /** Queues due occurrences of schedules while few of their steps wait. */
-    void openDueOccurrences(long nowMillis) {
+    /**
+     * Queues steps that were deferred and due occurrences of schedules while few steps of their
+     * workflows wait.
+     */
+    void queueDeferred(long nowMillis) {
+        mDeferring.removeIf(occurrence -> !queueDeferred(occurrence, nowMillis));
         mScheduled.forEach(workflow -> new OccurrenceOpener(this, workflow, nowMillis).open());
     }
 
+    /** Queues deferred steps of an occurrence. Returns whether some are left. */
+    private boolean queueDeferred(Occurrence occurrence, long nowMillis) {
+        Workflow workflow = occurrence.mWorkflow;
+        if (workflow.mState.isFinal()) {
+            return false;
+        }
+        boolean hasSchedule = workflow.mSpec.hasSchedule();
+        if (!hasSchedule && workflow.queuedCount() >= QueueLimits.steps(mUnfinishedCount)) {
+            deferWaiting(occurrence);
+        }
+        int[] added = new int[1];
+        int free = QueueLimits.steps(mUnfinishedCount) - workflow.queuedCount();
+        List<Integer> steps =
+                occurrence.takeDeferred(
+                        it -> hasSchedule ? mayQueue(workflow, it) : added[0]++ < free,
+                        !hasSchedule);
+        steps.forEach(step -> queue(occurrence, step, nowMillis));
+        return occurrence.hasDeferred();
+    }
+
+    /** Defers steps that have found no room, so that others of their workflow are tried. */
+    private void deferWaiting(Occurrence occurrence) {
+        for (Step step : List.copyOf(occurrence.steps())) {
+            if (step.mHasWaitedForRoom && step.isUntouched() && mWaitingSteps.contains(step)) {
+                removeWaiting(step);
+                occurrence.release(step);
+                occurrence.defer(step.mKey.step());
+            }
+        }
+    }
+
     /** Returns whether one more occurrence may wait for one of some steps. */
     boolean mayQueueAny(Workflow workflow, int[] steps) {
         for (int step : steps) {
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -62,6 +62,9 @@
     long mReadyMillis = -1;
     long mReservedUntilMillis;
 
+    /** Whether a round has found no room for any task since the step was queued. */
+    boolean mHasWaitedForRoom;
+
     /** Whether a round has left the step out for the quota of its workspace. */
     boolean mHasWaitedForQuota;
 
@@ -76,6 +79,16 @@
         return mWorkflow.kindOf(mKey.step());
     }
 
+    /** Returns whether nothing is known of the step but that its turn has come. */
+    boolean isUntouched() {
+        return mTasks.isEmpty()
+                && mDoneBelow == 0
+                && !mHasFailures
+                && mReservedTasks.isEmpty()
+                && mStalledUntilMillis.isEmpty()
+                && mApprovals.isUnused();
+    }
+
     /** Returns the number of leading tasks that are done and are not held any more. */
     int doneBelow() {
         return mDoneBelow;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/StepApprovals.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/StepApprovals.java
@@ -25,6 +25,11 @@
     /** A ticket and the end of its validity on the owner's clock. */
     private record Ticket(String text, long untilMillis) {}
 
+    /** Returns whether no request was sent so far. */
+    boolean isUnused() {
+        return !mRequestPending && mQueried.isEmpty();
+    }
+
     boolean isRequestPending() {
         return mRequestPending;
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
@@ -18,6 +18,8 @@
 
     final Occurrences mOccurrences = new Occurrences(this);
 
+    private int mQueuedCount;
+
     /** Number of queued steps of all occurrences of a schedule, by the number of the step. */
     private final Map<Integer, Integer> mQueuedCounts = new HashMap<>();
 
@@ -77,13 +79,19 @@
         return all;
     }
 
-    /** Counts a step of a schedule that is queued, or is not any more. */
+    /** Counts a step that is queued, or is not any more. */
     void countQueued(Step step, int difference) {
+        mQueuedCount += difference;
         if (mSpec.hasSchedule()) {
             mQueuedCounts.merge(step.mKey.step(), difference, Integer::sum);
         }
     }
 
+    /** Returns the number of queued steps of all occurrences. */
+    int queuedCount() {
+        return mQueuedCount;
+    }
+
     /** Returns in how many occurrences of a schedule a step is queued. */
     int queuedCount(int step) {
         return mQueuedCounts.getOrDefault(step, 0);
