Bound the runs that the owner holds

Cause: there may be room for hundreds of thousands of tiny tasks, and each run takes memory of the owner.

Change: the owner holds at most 40,000 runs, four times what it is to carry. Further tasks wait until some have ended, and so do gangs with more members than are left; the first time, a decision is logged. A gang of more than 40,000 members is kept and never starts.

Measured: PlacementRoundTest.ownerHoldsABoundedNumberOfRuns.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -50,6 +50,12 @@
      */
     static final int MAX_VISITED_WORKERS = 300_000;
 
+    /**
+     * Number of runs that the owner holds at a time, four times what it is to carry. Further tasks
+     * wait, and so do gangs with more members than are left.
+     */
+    static final int MAX_ACTIVE_RUNS = 40_000;
+
     /** Largest share of a pool that is left out because it is slow. */
     static final double MAX_SLOW_SHARE = 0.25;
 
@@ -76,6 +82,9 @@
     /** Number of workers that start nothing else in this round, so that a trial can begin. */
     private int mTrialClaims;
 
+    /** Number of runs that the owner may hold in addition to those before this round. */
+    private final int mFreeRuns;
+
     private int mStartingSteps;
     private int mStartedRuns;
 
@@ -98,6 +107,7 @@
         mClaims = new WorkerClaims(state, nowMillis);
         mForecast = new RoomForecast(state, nowMillis);
         mPreemption = new Preemption(state, this::urgency, nowMillis);
+        mFreeRuns = MAX_ACTIVE_RUNS - state.activeRuns();
         mApprovedPlacement = new ApprovedPlacement(state, this, limits, nowMillis);
     }
 
@@ -211,7 +221,7 @@
     }
 
     private boolean mayStart() {
-        return mStartingSteps < mMaxSteps && mStartedRuns < mMaxRuns;
+        return mStartingSteps < mMaxSteps && mStartedRuns < Math.min(mMaxRuns, mFreeRuns);
     }
 
     /**
@@ -225,13 +235,13 @@
         if (mShares.levelOf(step) > queued.shareLevel()) {
             return false;
         }
-        if (isTooWide(step, queued.policy().pool())) {
+        if (isTooWide(step, queued.policy().pool()) || exceedsFreeRuns(step)) {
             step.releaseReservations();
             step.mHasWaitedForRoom = true;
             return true;
         }
         int tasks = admittedCount(step);
-        int limit = Math.min(maxRuns, mMaxRuns - mStartedRuns);
+        int limit = Math.min(maxRuns, Math.min(mMaxRuns, mFreeRuns) - mStartedRuns);
         int formerRuns = mStartedRuns;
         if (tasks > limit && !step.mSpec.gang()) {
             place(step, limit, queued.policy());
@@ -275,6 +285,22 @@
         return spec.taskCount() > mCapacities.computeIfAbsent(capacity, it -> tasksIn(step, it));
     }
 
+    /** Returns whether a gang has more members than the owner may hold further runs. */
+    private boolean exceedsFreeRuns(Step step) {
+        int free = mFreeRuns - mStartedRuns;
+        if (!step.mSpec.gang() || step.mSpec.taskCount() <= free) {
+            return false;
+        }
+        if (!step.mHasWaitedForRuns) {
+            step.mHasWaitedForRuns = true;
+            mState.mOutput.recordDecision(
+                    step.mKey,
+                    "waits, as the owner holds too many runs",
+                    "members=%d free=%d".formatted(step.mSpec.taskCount(), free));
+        }
+        return true;
+    }
+
     /** Returns the number of tasks like those of a step that an empty pool has room for. */
     private long tasksIn(Step step, PoolCapacity capacity) {
         long count = 0;
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PoolState.java
@@ -161,6 +161,11 @@
         return step == null ? null : step.heldTask(key.index());
     }
 
+    /** Returns the number of tasks that have room on a worker. */
+    int activeRuns() {
+        return mWorkers.values().stream().mapToInt(PoolWorker::runCount).sum();
+    }
+
     /** Returns a step, or null if it is not held. */
     static @Nullable Step findStep(Workflow workflow, StepKey key) {
         Occurrence occurrence = workflow.mOccurrences.get(key.occurrence());
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Step.java
@@ -65,6 +65,9 @@
     /** Whether a round has found no room for any task since the step was queued. */
     boolean mHasWaitedForRoom;
 
+    /** Whether a round has left the step out, as the owner holds too many runs. */
+    boolean mHasWaitedForRuns;
+
     /** Whether a round has left the step out for the quota of its workspace. */
     boolean mHasWaitedForQuota;
 
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
@@ -11,6 +11,7 @@
 import java.util.stream.IntStream;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
 import org.hyssoprouter.lib.workflow.RunReport;
+import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.junit.jupiter.api.AfterEach;
@@ -110,6 +111,29 @@
         assertEquals(200, scheduler.output().takeStarts().size());
     }
 
+    // Guards against an owner that runs out of memory as there is room for hundreds of thousands of
+    // tiny tasks, and against gangs of them that keep others from starting.
+    @Test
+    void ownerHoldsABoundedNumberOfRuns() {
+        PoolScheduler scheduler = schedulerOf(10, 1_000_000);
+        StepSpec gang = step(PlacementRound.MAX_ACTIVE_RUNS + 1, 1, 500, true);
+        scheduler.addWorkflow(workflow("gang", TestPools.QUEUE, gang), 0);
+        scheduler.addWorkflow(workflow("small", TestPools.QUEUE, step(1, 1, 500, false)), 0);
+        for (int i = 0; i < 3; i++) {
+            scheduler.addWorkflow(
+                    workflow("wide" + i, TestPools.QUEUE, step(5_000_000, 1, 500, false)), 1);
+        }
+        int started = 0;
+        for (int round = 0; round < 300; round++) {
+            scheduler.place(10);
+            started += scheduler.output().takeStarts().size();
+            assertTrue(started <= PlacementRound.MAX_ACTIVE_RUNS);
+        }
+        assertEquals(PlacementRound.MAX_ACTIVE_RUNS, started);
+        assertEquals(WorkflowState.ACTIVE, scheduler.row("small").get().state());
+        assertEquals(WorkflowState.PENDING, scheduler.row("gang").get().state());
+    }
+
     // Guards against rounds whose time grows with the work that has no room: other daemons then
     // take
     // the owner for dead.
