Judge the speed of a worker once a report

Cause: each run in a report sorted the ratios of all runs on its worker, up to three times: the cost of a report grew with the square of the runs.

Change: the median is computed when it is asked for, once for each report.

Measured: WorkerSpeedTest and SlowWorkerTest pass unchanged.

--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/RunTracker.java
@@ -173,6 +173,7 @@
         worker.mClock.recordReading(report.clockMillis(), nowMillis);
         worker.mLastReportMillis = nowMillis;
         mState.mProgress.accrue(worker, nowMillis);
+        boolean wasSlow = worker.mSpeed.isSlow(nowMillis);
         for (RunReport.Ended end : report.ended()) {
             if (end.sequence() > worker.mProcessedSequence) {
                 worker.mProcessedSequence = end.sequence();
@@ -183,6 +184,7 @@
         for (RunReport.Running run : report.running()) {
             unknownRuns |= !handleReportedRun(worker, run, report.clockMillis(), nowMillis);
         }
+        logSpeedChange(worker, wasSlow, nowMillis);
         if (unknownRuns) {
             // A run without an allocation here uses an unknown amount of room.
             worker.mExcludedUntilMillis =
@@ -227,15 +229,17 @@
         if (millis <= 0 || !expected) {
             return;
         }
-        boolean wasSlow = worker.mSpeed.isSlow(nowMillis);
         double ratio = (double) millis / Math.max(1, mState.mDurations.taskMillis(task.mStep));
         worker.mSpeed.record(task.mKey, ratio, nowMillis);
+    }
+
+    private void logSpeedChange(PoolWorker worker, boolean wasSlow, long nowMillis) {
         boolean isSlow = worker.mSpeed.isSlow(nowMillis);
         if (wasSlow != isSlow) {
             mState.mOutput.recordDecision(
                     worker.mId,
                     isSlow ? "worker is slow" : "worker is no longer slow",
-                    "run " + task.mKey + " takes %.1f times as long".formatted(ratio));
+                    worker.mSpeed.describeLast());
         }
     }
 
