--- a/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowFixture.java
+++ b/org.hyssoprouter.daemon/src/test/java/org/hyssoprouter/daemon/workflow/LargeWorkflowFixture.java
@@ -18,6 +18,7 @@
 import org.hyssoprouter.lib.workflow.StartOutcome;
 import org.hyssoprouter.lib.workflow.TaskKey;
 import org.hyssoprouter.lib.workflow.TaskStart;
+import org.hyssoprouter.lib.workflow.WorkflowSpec;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 import org.hyssoprouter.util.MessageCodec;
 
@@ -132,20 +133,22 @@
     }
 
     void report(List<TaskKey> tasks) {
-        List<RunReport.Running> runs = new ArrayList<>();
-        tasks.forEach(task -> runs.add(new RunReport.Running(task, 1, "", 1, 0)));
-        long nowMillis = mThread.millis();
-        RunReport report = new RunReport(nowMillis, 1, runs, List.of());
-        mScheduler.handleReport(SchedulerFixture.WORKER, report, nowMillis, nowMillis);
+        report(tasks, List.of());
     }
 
     void end(List<TaskKey> tasks) {
+        report(List.of(), tasks);
+    }
+
+    void report(List<TaskKey> running, List<TaskKey> ended) {
+        List<RunReport.Running> runs = new ArrayList<>();
+        running.forEach(task -> runs.add(new RunReport.Running(task, 1, "", 1, 0)));
         List<RunReport.Ended> ends = new ArrayList<>();
-        for (TaskKey task : tasks) {
+        for (TaskKey task : ended) {
             ends.add(new RunReport.Ended(++mEndCount, task, 1, EndKind.DONE, ""));
         }
         long nowMillis = mThread.millis();
-        RunReport report = new RunReport(nowMillis, 1, List.of(), ends);
+        RunReport report = new RunReport(nowMillis, 1, runs, ends);
         mScheduler.handleReport(SchedulerFixture.WORKER, report, nowMillis, nowMillis);
     }
 
@@ -158,6 +161,14 @@
     }
 
     void takeOver(long epoch, int tasks, String... ids) {
+        List<WorkflowSpec> specs = new ArrayList<>();
+        for (String id : ids) {
+            specs.add(SchedulerFixture.workflow(id, tasks, false));
+        }
+        takeOver(epoch, specs);
+    }
+
+    void takeOver(long epoch, List<WorkflowSpec> specs) {
         mCommitter.close();
         mFixture = new SchedulerFixture();
         mScheduler = mFixture.scheduler();
@@ -172,9 +183,7 @@
                         mStoreClock,
                         new IgnoringListener());
         accepted.putFormer(readRows());
-        for (String id : ids) {
-            accepted.onAccepted(SchedulerFixture.workflow(id, tasks, false));
-        }
+        specs.forEach(accepted::onAccepted);
         mThread.advance(0);
         accepted.deleteLeftovers();
     }
--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/PlacementRound.java
@@ -6,11 +6,9 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.Set;
 import org.hyssoprouter.lib.Room;
 import org.hyssoprouter.lib.workflow.QueuePolicy;
-import org.hyssoprouter.lib.workflow.StepSpec;
 import org.hyssoprouter.lib.workflow.TaskStart;
 import org.hyssoprouter.lib.workflow.WorkflowState;
 
@@ -44,18 +42,6 @@
     /** Longest expected time for which a late gang claims workers: that of a short task. */
     static final long MAX_LATE_CLAIM_MILLIS = 1_000;
 
-    /**
-     * Number of workers, those of all tried steps together, that a round looks at. The steps that
-     * it does not try are those of the next round.
-     */
-    static final int MAX_VISITED_WORKERS = 300_000;
-
-    /**
-     * Number of runs that the owner holds at a time, four times what it is to carry. Further tasks
-     * wait, and so do gangs with more members than are left.
-     */
-    static final int MAX_ACTIVE_RUNS = 40_000;
-
     /** Largest share of a pool that is left out because it is slow. */
     static final double MAX_SLOW_SHARE = 0.25;
 
@@ -69,9 +55,6 @@
     private final RoomForecast mForecast;
     private final Map<String, List<PoolWorker>> mSchedulable = new HashMap<>();
 
-    /** Number of tasks that pools have room for when they are empty. */
-    private final Map<PoolCapacity, Long> mCapacities = new HashMap<>();
-
     private final Preemption mPreemption;
     private final ApprovedPlacement mApprovedPlacement;
     private final RoundLimits mLimits;
@@ -82,20 +65,9 @@
     /** Number of workers that start nothing else in this round, so that a trial can begin. */
     private int mTrialClaims;
 
-    /** Number of runs that the owner may hold in addition to those before this round. */
-    private final int mFreeRuns;
-
     private int mStartingSteps;
     private int mStartedRuns;
 
-    /** Numbers of starting steps and of runs at which no further ones are started at present. */
-    private int mMaxSteps;
-
-    private int mMaxRuns;
-
-    /** Steps with more tasks than they were allowed to start. */
-    private final List<QueuedStep> mCutSteps = new ArrayList<>();
-
     private long mVisitedWorkers;
 
     PlacementRound(PoolState state, RoundLimits limits, long nowMillis) {
@@ -107,154 +79,23 @@
         mClaims = new WorkerClaims(state, nowMillis);
         mForecast = new RoomForecast(state, nowMillis);
         mPreemption = new Preemption(state, this::urgency, nowMillis);
-        mFreeRuns = MAX_ACTIVE_RUNS - state.activeRuns();
         mApprovedPlacement = new ApprovedPlacement(state, this, limits, nowMillis);
     }
 
-    /** Pool and what decides how many tasks it has room for. */
-    private record PoolCapacity(String pool, Room room, String label, int maxPerWorker) {}
-
-    /**
-     * A waiting step and the values that determine its position in the round; the first one that
-     * differs decides.
-     *
-     * @param shareLevel how far its workspace is above its share of the pool
-     * @param number position among steps that are equal otherwise
-     */
-    private record QueuedStep(
-            Step step,
-            QueuePolicy policy,
-            PlacementOrder.Rank rank,
-            boolean isTrial,
-            int shareLevel,
-            int number)
-            implements Comparable<QueuedStep> {
-        private static final Comparator<QueuedStep> ORDER =
-                Comparator.comparing((QueuedStep queued) -> !queued.isTrial())
-                        .thenComparingInt(queued -> queued.rank().urgency())
-                        .thenComparingInt(QueuedStep::shareLevel)
-                        .thenComparing(QueuedStep::rank)
-                        .thenComparingInt(QueuedStep::number);
-
-        QueuedStep atLevel(int level) {
-            return new QueuedStep(step, policy, rank, isTrial, level, number);
-        }
-
-        @Override
-        public int compareTo(QueuedStep other) {
-            return ORDER.compare(this, other);
-        }
-    }
-
     /** Runs the round. */
     void run() {
         mState.mDurations.beginRound();
-        PriorityQueue<QueuedStep> queue = untriedSteps();
-        if (queue.isEmpty() && !mState.mTriedSteps.isEmpty()) {
-            mState.mTriedSteps.clear();
-            queue = untriedSteps();
-        }
-        mMaxSteps = mLimits.unreservedSteps();
-        mMaxRuns = mLimits.unreservedRuns();
-        Set<Step> tried = new HashSet<>();
-        while (!queue.isEmpty() && mayStart() && mVisitedWorkers < MAX_VISITED_WORKERS) {
-            QueuedStep queued = queue.remove();
-            if (tryPlace(queued, mMaxRuns)) {
-                tried.add(queued.step());
-            } else {
-                queue.add(queued.atLevel(mShares.levelOf(queued.step())));
-            }
-        }
-        if (queue.isEmpty()) {
-            mState.mTriedSteps.clear();
-        }
-        if (queue.isEmpty() && mCutSteps.isEmpty()) {
-            return;
-        }
-        if (mVisitedWorkers >= MAX_VISITED_WORKERS) {
-            mState.mTriedSteps.addAll(tried);
-        } else {
-            mCutSteps.addAll(queue);
-            placeReserved(mCutSteps);
-        }
-    }
-
-    /** Returns the waiting steps that no round has tried since all of them were tried last. */
-    private PriorityQueue<QueuedStep> untriedSteps() {
-        PriorityQueue<QueuedStep> queue = new PriorityQueue<>();
-        for (Step step : mState.mWaitingSteps) {
-            if (mState.mTriedSteps.contains(step)) {
-                continue;
-            }
-            for (QueuePolicy policy : mState.placementPolicyOf(step.mWorkflow)) {
-                queue.add(
-                        new QueuedStep(
-                                step,
-                                policy,
-                                mState.mOrder.rank(step, policy, mNowMillis),
-                                step.waitingCrashes() > 0,
-                                mShares.levelOf(step),
-                                queue.size()));
-            }
-        }
-        return queue;
-    }
-
-    /**
-     * Starts tasks of the workflows with the fewest runs. Those before them have more tasks to
-     * start than the round may start.
-     */
-    private void placeReserved(List<QueuedStep> queue) {
-        mMaxSteps = mLimits.steps();
-        mMaxRuns = mLimits.runs();
-        int runsPerStep = Math.max(1, (mMaxRuns - mStartedRuns) / queue.size());
-        queue.sort(
-                Comparator.comparingInt((QueuedStep it) -> it.step().mWorkflow.activeRuns())
-                        .thenComparing(it -> it.step().mWorkflow.mBegun)
-                        .thenComparing(Comparator.naturalOrder()));
-        for (QueuedStep queued : List.copyOf(queue)) {
-            if (!mayStart() || mVisitedWorkers >= MAX_VISITED_WORKERS) {
-                return;
-            }
-            tryPlace(queued, runsPerStep);
-        }
+        new RoundQueue(mState, this, mLimits, mNowMillis).run();
     }
 
-    private boolean mayStart() {
-        return mStartingSteps < mMaxSteps && mStartedRuns < Math.min(mMaxRuns, mFreeRuns);
+    /** Returns the number of steps with new runs. */
+    int startingSteps() {
+        return mStartingSteps;
     }
 
-    /**
-     * Places tasks of a step.
-     *
-     * @param maxRuns maximum number of runs to start, unless the tasks form a gang
-     * @return false if its workspace has come to another level, as earlier steps have started
-     */
-    private boolean tryPlace(QueuedStep queued, int maxRuns) {
-        Step step = queued.step();
-        if (mShares.levelOf(step) > queued.shareLevel()) {
-            return false;
-        }
-        if (isTooWide(step, queued.policy().pool()) || exceedsFreeRuns(step)) {
-            step.releaseReservations();
-            step.mHasWaitedForRoom = true;
-            return true;
-        }
-        int tasks = admittedCount(step);
-        int limit = Math.min(maxRuns, Math.min(mMaxRuns, mFreeRuns) - mStartedRuns);
-        int formerRuns = mStartedRuns;
-        if (tasks > limit && !step.mSpec.gang()) {
-            place(step, limit, queued.policy());
-            if (mStartedRuns == formerRuns + limit) {
-                mCutSteps.add(queued);
-            }
-        } else if (tasks > 0) {
-            place(step, tasks, queued.policy());
-        } else if (step.count(Task.Phase.WAITING) == 0) {
-            mState.removeWaiting(step);
-        }
-        step.mHasWaitedForRoom = mStartedRuns == formerRuns;
-        return true;
+    /** Returns the number of new runs. */
+    int startedRuns() {
+        return mStartedRuns;
     }
 
     /** Returns the number of workers that the round has looked at, those of each step anew. */
@@ -262,60 +103,16 @@
         return mVisitedWorkers;
     }
 
+    /** Returns how far the workspace of a step is above its share at present. */
+    int shareLevelOf(Step step) {
+        return mShares.levelOf(step);
+    }
+
     /** Returns how many tasks of a step may be placed now within the quota of its workspace. */
     int admittedCount(Step step) {
         return mQuotas.admit(step, step.placeableCount());
     }
 
-    /**
-     * Returns whether a gang has more members than its pool has capacity for, whatever runs there.
-     * It waits until there are enough workers, and keeps nothing from others until then.
-     */
-    private boolean isTooWide(Step step, String pool) {
-        StepSpec spec = step.mSpec;
-        if (!spec.gang()) {
-            return false;
-        }
-        PoolCapacity capacity =
-                new PoolCapacity(
-                        pool,
-                        WorkerSelector.requiredRoom(spec),
-                        spec.limits().label(),
-                        spec.limits().maxPerWorker());
-        return spec.taskCount() > mCapacities.computeIfAbsent(capacity, it -> tasksIn(step, it));
-    }
-
-    /** Returns whether a gang has more members than the owner may hold further runs. */
-    private boolean exceedsFreeRuns(Step step) {
-        int free = mFreeRuns - mStartedRuns;
-        if (!step.mSpec.gang() || step.mSpec.taskCount() <= free) {
-            return false;
-        }
-        if (!step.mHasWaitedForRuns) {
-            step.mHasWaitedForRuns = true;
-            mState.mOutput.recordDecision(
-                    step.mKey,
-                    "waits, as the owner holds too many runs",
-                    "members=%d free=%d".formatted(step.mSpec.taskCount(), free));
-        }
-        return true;
-    }
-
-    /** Returns the number of tasks like those of a step that an empty pool has room for. */
-    private long tasksIn(Step step, PoolCapacity capacity) {
-        long count = 0;
-        for (PoolWorker worker : schedulableWorkers(capacity.pool())) {
-            if (worker.matchesLabel(step.mSpec)) {
-                long fitting = WorkerSelector.fitCount(capacity.room(), worker.entry().capacity());
-                count +=
-                        capacity.maxPerWorker() > 0
-                                ? Math.min(fitting, capacity.maxPerWorker())
-                                : fitting;
-            }
-        }
-        return count;
-    }
-
     /** Returns the urgency of a step at present; 0 is the most urgent. */
     int urgency(Step step) {
         return mState.policyOf(step.mWorkflow)
@@ -323,7 +120,12 @@
                 .getOrElse(0);
     }
 
-    private void place(Step step, int tasks, QueuePolicy policy) {
+    /**
+     * Places tasks of a step for which workers have room.
+     *
+     * @param tasks maximum number of tasks; of a gang, the number of its members
+     */
+    void place(Step step, int tasks, QueuePolicy policy) {
         boolean expired =
                 step.mReservedUntilMillis < mNowMillis && !step.mApprovals.isRequestPending();
         boolean unusable =
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
@@ -116,7 +116,7 @@
     @Test
     void ownerHoldsABoundedNumberOfRuns() {
         PoolScheduler scheduler = schedulerOf(10, 1_000_000);
-        StepSpec gang = step(PlacementRound.MAX_ACTIVE_RUNS + 1, 1, 500, true);
+        StepSpec gang = step(RoundQueue.MAX_ACTIVE_RUNS + 1, 1, 500, true);
         scheduler.addWorkflow(workflow("gang", TestPools.QUEUE, gang), 0);
         scheduler.addWorkflow(workflow("small", TestPools.QUEUE, step(1, 1, 500, false)), 0);
         for (int i = 0; i < 3; i++) {
@@ -127,9 +127,9 @@
         for (int round = 0; round < 300; round++) {
             scheduler.place(10);
             started += scheduler.output().takeStarts().size();
-            assertTrue(started <= PlacementRound.MAX_ACTIVE_RUNS);
+            assertTrue(started <= RoundQueue.MAX_ACTIVE_RUNS);
         }
-        assertEquals(PlacementRound.MAX_ACTIVE_RUNS, started);
+        assertEquals(RoundQueue.MAX_ACTIVE_RUNS, started);
         assertEquals(WorkflowState.ACTIVE, scheduler.row("small").get().state());
         assertEquals(WorkflowState.PENDING, scheduler.row("gang").get().state());
     }
@@ -163,7 +163,7 @@
         while (state.mOutput.takeStarts().isEmpty()) {
             PlacementRound round = new PlacementRound(state, RoundLimits.NONE, 10);
             round.run();
-            assertTrue(round.visitedWorkers() <= PlacementRound.MAX_VISITED_WORKERS + workers);
+            assertTrue(round.visitedWorkers() <= RoundQueue.MAX_VISITED_WORKERS + workers);
             rounds++;
             assertTrue(rounds <= 4, "started in round " + rounds);
         }
