--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/PlacementRoundTest.java
@@ -143,11 +143,7 @@
         state.configure(TestPools.config(2));
         int workers = 100;
         for (int i = 0; i < workers; i++) {
-            PoolWorker worker = new PoolWorker(TestPools.worker("w" + i, 1), SimulatedPool.LIMITS);
-            worker.mListed = true;
-            worker.beginIncarnation(1, 0);
-            worker.mLastReportMillis = 0;
-            worker.mClock.recordReading(0, 0);
+            PoolWorker worker = TestPools.reportedWorker("w" + i);
             state.mWorkers.put(worker.mId, worker);
         }
         int waiting = 10_000;
--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/TestPools.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/TestPools.java
@@ -56,6 +56,16 @@
         return new PoolConfig(1, List.of(queue), List.of(SimulatedPool.POOL));
     }
 
+    /** Returns a listed worker with four cores that has reported at time 0. */
+    static PoolWorker reportedWorker(String id) {
+        PoolWorker worker = new PoolWorker(worker(id, 1), SimulatedPool.LIMITS);
+        worker.mListed = true;
+        worker.beginIncarnation(1, 0);
+        worker.mLastReportMillis = 0;
+        worker.mClock.recordReading(0, 0);
+        return worker;
+    }
+
     /** Returns the entry of a worker with four cores. */
     static WorkerEntry worker(String id, long incarnation) {
         return worker(id, incarnation, 4_000);
