--- a/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WideGangTest.java
+++ b/org.hyssoprouter/src/test/java/org/hyssoprouter/internal/workflow/WideGangTest.java
@@ -22,11 +22,7 @@
     private void addWorkers(int count) {
         mState.configure(TestPools.config(2));
         for (int i = 0; i < count; i++) {
-            PoolWorker worker = new PoolWorker(TestPools.worker("w" + i, 1), SimulatedPool.LIMITS);
-            worker.mListed = true;
-            worker.beginIncarnation(1, 0);
-            worker.mLastReportMillis = 0;
-            worker.mClock.recordReading(0, 0);
+            PoolWorker worker = TestPools.reportedWorker("w" + i);
             mState.mWorkers.put(worker.mId, worker);
             mWorkers.add(worker);
         }
