--- a/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
+++ b/org.hyssoprouter/src/main/java/org/hyssoprouter/internal/workflow/Workflow.java
@@ -18,10 +18,10 @@
 
     final Occurrences mOccurrences = new Occurrences(this);
 
-    private int mQueuedCount;
+    private int mWaitingCount;
 
     /** Number of queued steps of all occurrences of a schedule, by the number of the step. */
-    private final Map<Integer, Integer> mQueuedCounts = new HashMap<>();
+    private final Map<Integer, Integer> mWaitingByStep = new HashMap<>();
 
     WorkflowState mState = WorkflowState.PENDING;
 
@@ -81,20 +81,20 @@
 
     /** Counts a step that is queued, or is not any more. */
     void countQueued(Step step, int difference) {
-        mQueuedCount += difference;
+        mWaitingCount += difference;
         if (mSpec.hasSchedule()) {
-            mQueuedCounts.merge(step.mKey.step(), difference, Integer::sum);
+            mWaitingByStep.merge(step.mKey.step(), difference, Integer::sum);
         }
     }
 
     /** Returns the number of queued steps of all occurrences. */
     int queuedCount() {
-        return mQueuedCount;
+        return mWaitingCount;
     }
 
     /** Returns in how many occurrences of a schedule a step is queued. */
     int queuedCount(int step) {
-        return mQueuedCounts.getOrDefault(step, 0);
+        return mWaitingByStep.getOrDefault(step, 0);
     }
 
     void countActiveRuns(int difference) {
